--- a/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
@@ -19,7 +19,6 @@
 from snipedeal.messages import Offer
 from snipedeal.messages import Part
 from snipedeal.messages import Resume
-from snipedeal.messages import Started
 from snipedeal.messages import Take
 from snipedeal.plugins import register_plugin
 
@@ -231,7 +230,6 @@
             attempt=attempt.id,
             customer=attempt.customer,
         )
-        self._node.send(router, Started(attempt.id))
         self._node.transport.watch(router, True)
         attempt.task = self._node.run_task(self._run(attempt, dispatch), "attempt")
 
--- a/packages/snipedeal-agent/src/snipedeal_agent/cli.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/cli.py
@@ -18,13 +18,14 @@
 from snipedeal_agent import health
 from snipedeal_agent import incidents
 from snipedeal_agent import openai
+from snipedeal_agent import orders
 from snipedeal_agent import plain
 from snipedeal_agent import sums
 from snipedeal_agent.agent import Agent
 from snipedeal_agent.dialects import DIALECTS
 
 #: Modules whose import registers plug-ins and dialects.
-REGISTERED = (attempts, health, incidents, openai, plain, sums)
+REGISTERED = (attempts, health, incidents, openai, orders, plain, sums)
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- /dev/null
+++ b/packages/snipedeal-agent/src/snipedeal_agent/orders.py
@@ -0,0 +1,132 @@
+"""Pass orders on to the target, unless they are superseded."""
+
+import asyncio
+import typing as t
+
+import aiohttp
+from snipedeal import defaults
+from snipedeal.exceptions import PlatformError
+from snipedeal.exceptions import StaleOrderError
+from snipedeal.membership import TARGET
+from snipedeal.messages import Order
+from snipedeal.messages import OrderDone
+from snipedeal.orders import FenceGuard
+from snipedeal.orders import OrderBook
+from snipedeal.plugins import register_plugin
+
+if t.TYPE_CHECKING:
+    from snipedeal_agent.agent import Agent
+
+DONE = "done"
+STALE = "stale"
+FAILED = "failed"
+_HTTP_OK = 200
+_HTTP_CONFLICT = 409
+
+
+@register_plugin(TARGET, "orders")
+class Orders:
+    """Carry out orders one after the other.
+
+    Before each, the log is read for a newer lease, and the reading's age is
+    checked by the monotonic clock right before the target is called, so that
+    a process that was frozen in between reads again.
+
+    :param agent: the agent that this is a part of.
+    """
+
+    def __init__(self, agent: "Agent") -> None:
+        self._agent = agent
+        self._node = agent.node
+        self._book = OrderBook()
+        self._guard = FenceGuard(defaults.ORDER_READ_MAX_AGE_MS)
+        self._queue: asyncio.Queue[tuple[str, Order]] = asyncio.Queue()
+
+    def start(self) -> None:
+        """Take orders from routers."""
+        self._node.handle(Order, self._on_order)
+        self._node.run_loop(self._run, "orders")
+
+    async def close(self) -> None:
+        """Do nothing; the node ends the task."""
+
+    def _on_order(self, router: str, order: Order) -> None:
+        self._queue.put_nowait((router, order))
+
+    async def _run(self) -> None:
+        while True:
+            router, order = await self._queue.get()
+            outcome = await self._carry_out(order)
+            self._node.events.add(
+                "order.ended", order=order.order, fence=order.fence, outcome=outcome
+            )
+            self._node.send(
+                router, OrderDone(order.order, outcome, self._guard.highest)
+            )
+
+    async def _carry_out(self, order: Order) -> str:
+        try:
+            await self._agent.plugins["health"].probe()
+            if self._is_loaded(order) and self._guard.is_current(order.fence):
+                return DONE
+            await self._check(order)
+            return await self._call_target(order)
+        except StaleOrderError:
+            return STALE
+        except PlatformError as error:
+            self._node.note_log(True, "orders", str(error))
+            return FAILED
+
+    async def _check(self, order: Order) -> None:
+        """Read the log until the reading is fresh.
+
+        :raises StaleOrderError: a newer lease is known.
+        :raises PlatformError: the log can't be read, so nothing is known.
+        """
+        now_ms = self._node.clock.now_ms
+        while True:
+            started_ms = now_ms()
+            await self._read_book()
+            fence = self._book.fence(self._agent.settings.service)
+            self._guard.note_read(started_ms, fence)
+            if not self._guard.is_current(order.fence):
+                raise StaleOrderError("a newer lease is on record", "order")
+            if self._guard.is_fresh(now_ms()):
+                return
+
+    async def _read_book(self) -> None:
+        while True:
+            batch = await self._node.log.read(
+                defaults.ORDER_STREAM, self._book.offset + 1
+            )
+            self._book.note_start(batch.start)
+            for record in batch.records:
+                self._book.apply(record.offset, record.data)
+            if not batch.records:
+                return
+
+    async def _call_target(self, order: Order) -> str:
+        body = {
+            "fence": order.fence,
+            "action": order.action,
+            "name": order.name,
+            "version": order.version,
+        }
+        timeout = aiohttp.ClientTimeout(total=defaults.ORDER_TARGET_TIMEOUT_MS / 1000)
+        target = self._agent.target
+        if not self._guard.is_fresh(self._node.clock.now_ms()):
+            return FAILED
+        self._guard.note_acted(order.fence)
+        try:
+            async with target.session.post(
+                f"{target.url}/orders", json=body, timeout=timeout
+            ) as answer:
+                if answer.status == _HTTP_CONFLICT:
+                    return STALE
+                return DONE if answer.status == _HTTP_OK else FAILED
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return FAILED
+
+    def _is_loaded(self, order: Order) -> bool:
+        loaded = self._agent.plugins["health"].load.get("loaded", {})
+        return loaded.get(order.action) == f"{order.name}@{order.version}"
--- a/packages/snipedeal-router/src/snipedeal_router/admission.py
+++ b/packages/snipedeal-router/src/snipedeal_router/admission.py
@@ -16,6 +16,7 @@
 from snipedeal.schemas import Service
 
 from snipedeal_router.claimhome import INCOMPLETE
+from snipedeal_router.dispatcher import OUT_OF_REACH
 from snipedeal_router.refusals import RefusedError
 from snipedeal_router.refusals import refuse
 from snipedeal_router.requests import MAY_HAVE_RUN
@@ -202,7 +203,7 @@
         if wait_ms > request.remaining_ms(now_ms):
             detail = f"the wait would be {wait_ms} ms, beyond the deadline"
             retry_after_s = max(1, (wait_ms - request.remaining_ms(now_ms)) // 1000)
-            raise refuse(429, "deadline_out_of_reach", detail, "queue", retry_after_s)
+            raise refuse(429, OUT_OF_REACH, detail, "queue", retry_after_s)
 
     async def _close_claim(self, request: Request) -> None:
         """Record the end of a claimed request, where it is proven."""
--- a/packages/snipedeal-router/src/snipedeal_router/app.py
+++ b/packages/snipedeal-router/src/snipedeal_router/app.py
@@ -32,7 +32,7 @@
 
     :param router: the router that it belongs to.
     """
-    app = falcon.asgi.App(middleware=[_RequestIds()])
+    app = falcon.asgi.App(middleware=[_RequestIds(), _ClosingDoor(router)])
     app.req_options.strip_url_path_trailing_slash = False
     add_error_handlers(app)
     add_observation(app, router.node)
@@ -53,6 +53,19 @@
         req.context.request_id = new_id("req")
 
 
+class _ClosingDoor:
+    """Let callers give up their connections while the router closes."""
+
+    def __init__(self, router: "Router") -> None:
+        self._node = router.node
+
+    async def process_response(
+        self, req: t.Any, resp: t.Any, resource: t.Any, req_succeeded: bool
+    ) -> None:
+        if self._node.is_closing:
+            resp.set_header("Connection", "close")
+
+
 class ModelResource:
     """The OpenAI-compatible API; the model's name is the service's name.
 
--- a/packages/snipedeal-router/src/snipedeal_router/cli.py
+++ b/packages/snipedeal-router/src/snipedeal_router/cli.py
@@ -93,6 +93,26 @@
     return asyncio.run(_publish_all(good, log_url, replace))
 
 
+def restore(records: str, *, log_url: str) -> int:
+    """Start the configuration anew after the log has lost a part of it.
+
+    That happens when no router was up for longer than the log keeps records.
+    Exit status: 0 if done, 1 if the log still holds the whole configuration
+    or did not answer, 2 if the file is unusable.
+
+    :param records: JSON file with all records that are to be in force.
+    :param log_url: base URL of the log service.
+    """
+    try:
+        good, problems = publishing.read_records(records)
+    except RecordError as error:
+        print(error.message, file=sys.stderr)
+        return EXIT_INPUT
+    if problems:
+        return check(records)
+    return asyncio.run(_restore(good, log_url))
+
+
 def status(*, vm_list_url: str) -> int:
     """Show what each process of the fleet has in force.
 
@@ -149,6 +169,9 @@
         for record in records:
             try:
                 done = await publisher.publish(record, replace)
+            except RecordError as error:
+                print(f"{record.kind} {record.name}: {error}", file=sys.stderr)
+                return EXIT_FAILED
             except PlatformError as error:
                 print(f"{record.kind} {record.name}: unknown: {error}", file=sys.stderr)
                 return EXIT_FAILED
@@ -163,9 +186,21 @@
     return result
 
 
+async def _restore(records: t.Sequence[publishing.Record], log_url: str) -> int:
+    async with aiohttp.ClientSession() as session:
+        publisher = publishing.Publisher(LogClient(log_url, session))
+        try:
+            offset = await publisher.restore(list(records))
+        except (PlatformError, RecordError) as error:
+            print(error, file=sys.stderr)
+            return EXIT_FAILED
+    print(f"{len(records)} objects restored at offset {offset}")
+    return EXIT_OK
+
+
 def main() -> None:
     """Run the command line."""
-    commands = [router, check, publish, status, timeline]
+    commands = [router, check, publish, restore, status, timeline]
     sys.exit(defopt.run(commands))
 
 
--- a/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
+++ b/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
@@ -32,6 +32,7 @@
 if t.TYPE_CHECKING:
     from snipedeal_router.router import Router
 
+OUT_OF_REACH = "deadline_out_of_reach"
 _RETRIED = ("crashed", "lost", "failed", "unknown", "cancelled")
 
 
@@ -97,9 +98,12 @@
             self._enqueue(request)
 
     def expected_wait_ms(self, service: str, customer: str) -> int:
-        """Return how long a new request of a customer would wait."""
+        """Return how long a new request of a customer would take in all."""
         waiting = self._backlog(service).count(customer)
-        return self._waits.expected_ms(service, customer, waiting)
+        if not waiting:
+            return 0
+        wait_ms = self._waits.expected_ms(service, customer, waiting)
+        return wait_ms + self._waits.run_ms(service, customer)
 
     def waiting_of(self, service: str, customer: str) -> int:
         """Return how many requests of a customer wait."""
@@ -211,6 +215,7 @@
         request.may_have_run_before = request.may_have_run
         request.may_have_run = True
         request.answer.begin(attempt)
+        request.dispatched_ms = now_ms
         self._by_attempt[attempt] = request
         self._gates.add_attempt(gate, attempt)
         self._node.events.add(
@@ -231,10 +236,24 @@
                 return
             if request is None or self._is_refused_now(request, now_ms):
                 continue
+            if self._is_out_of_reach(request, now_ms):
+                continue
             self._note_taken(request, now_ms)
             self._dispatch(request, gate, message.ticket)
             return
 
+    def _is_out_of_reach(self, request: Request, now_ms: int) -> bool:
+        """Refuse a request that would not be whole in time; return whether so.
+
+        Running it would take capacity from requests that can still be whole.
+        """
+        run_ms = self._waits.run_ms(request.service, request.customer)
+        if request.may_have_run or request.remaining_ms(now_ms) >= run_ms:
+            return False
+        detail = f"it would run for {run_ms} ms, beyond the deadline"
+        self.refuse(request, 429, OUT_OF_REACH, detail, "queue", defaults.RETRY_AFTER_S)
+        return True
+
     def _note_taken(self, request: Request, now_ms: int) -> None:
         self._waits.observe_take(request.service, request.customer, now_ms)
         waited_s = (now_ms - request.arrived_ms) / 1000
@@ -312,6 +331,8 @@
         request.status = message.status
         request.answer_headers = message.headers
         request.cost = message.cost
+        run_ms = self._node.clock.now_ms() - request.dispatched_ms
+        self._waits.observe_run(request.service, request.customer, run_ms)
         self._router.quarantine.clear(request.fingerprint)
         self._end(request, "ok")
 
@@ -451,7 +472,9 @@
         if self._is_offer_due:
             return
         self._is_offer_due = True
-        asyncio.get_running_loop().call_soon(self._send_offers)
+        # a short wait lets offers of several requests share frames.
+        delay_s = defaults.OFFER_DELAY_MS / 1000
+        asyncio.get_running_loop().call_later(delay_s, self._send_offers)
 
     def _send_offers(self) -> None:
         self._is_offer_due = False
--- a/packages/snipedeal-router/src/snipedeal_router/publishing.py
+++ b/packages/snipedeal-router/src/snipedeal_router/publishing.py
@@ -7,11 +7,13 @@
 import attrs
 from snipedeal import defaults
 from snipedeal.checking import unstructure
-from snipedeal.configuration import REJECTED
-from snipedeal.configuration import UNUSABLE
+from snipedeal.configuration import ACCEPTED
+from snipedeal.configuration import SNAPSHOT_KIND
 from snipedeal.configuration import Applied
 from snipedeal.configuration import Configuration
 from snipedeal.configuration import Record
+from snipedeal.configuration import SnapshotPart
+from snipedeal.configuration import StoredObject
 from snipedeal.configuration import check_record
 from snipedeal.configuration import parse_record
 from snipedeal.exceptions import LogUnavailableError
@@ -90,8 +92,13 @@
         :param is_forced: replace the current revision, whatever it is.
         :raises LogUnavailableError: the outcome can't be learned; the record
             may or may not be in the log.
+        :raises RecordError: the log no longer holds the whole configuration.
         """
         await self._read_on()
+        if not self._configuration.is_complete:
+            raise RecordError(
+                "the log no longer holds the whole configuration; see 'restore'"
+            )
         if is_forced:
             current = self._configuration.revision(record.kind, record.name)
             record = attrs.evolve(record, base_revision=current)
@@ -101,11 +108,30 @@
         return Published(
             record.kind,
             record.name,
-            applied.status not in (REJECTED, UNUSABLE),
+            applied.status == ACCEPTED,
             offset,
             applied.reason,
         )
 
+    async def restore(self, records: list[Record]) -> int:
+        """Start the configuration anew where the log lost a part of it.
+
+        :param records: the objects that are to be in force.
+        :return: offset of the snapshot's last part.
+        :raises RecordError: the log still holds the whole configuration.
+        """
+        await self._read_on()
+        if self._configuration.is_complete:
+            raise RecordError("the log holds the whole configuration")
+        covers = self._next - 1
+        restored = Configuration()
+        if not restored.adopt(_as_snapshot(records, covers)):
+            raise RecordError("the stream is empty; publish the records instead")
+        offset = covers
+        for text in restored.snapshot(new_id("restore")):
+            offset = await self._log.append(defaults.CONFIG_STREAM, text)
+        return offset
+
     async def _read_on(self) -> None:
         """Read the stream to its end."""
         while True:
@@ -116,7 +142,10 @@
                 self._applied[item.offset] = applied
                 self._offsets[applied.id] = item.offset
                 self._next = item.offset + 1
-            if not batch.records or self._next >= batch.next:
+            if not batch.records:
+                # an empty stream still has offsets, which retention used up.
+                self._next = max(self._next, batch.next)
+            if self._next >= batch.next:
                 return
 
     async def _read_to(self, offset: int) -> None:
@@ -146,6 +175,24 @@
                 await asyncio.sleep(defaults.LOG_RETRY_MS / 1000)
 
 
+def _as_snapshot(records: list[Record], covers: int) -> list[str]:
+    """Return the text of a snapshot that holds the records' objects."""
+    objects = [
+        StoredObject(
+            record.kind,
+            record.name,
+            covers,
+            record.schema_version,
+            record.spec,
+            record.schema_version,
+            record.spec,
+        )
+        for record in records
+    ]
+    part = SnapshotPart(1, new_id("file"), SNAPSHOT_KIND, covers, 0, 1, objects)
+    return [json.dumps(unstructure(part))]
+
+
 def _read_record(item: object) -> Record:
     if isinstance(item, dict):
         item = {"id": new_id("rec"), "base_revision": None, "author": "", **item}
--- a/packages/snipedeal-router/src/snipedeal_router/requests.py
+++ b/packages/snipedeal-router/src/snipedeal_router/requests.py
@@ -73,6 +73,7 @@
     phase: Phase = Phase.NEW
     answer: Answer = attrs.Factory(Answer)
     attempts: int = 0
+    dispatched_ms: int = 0
     attempt: str = ""
     gate: str = ""
     may_have_run: bool = False
--- a/packages/snipedeal-router/src/snipedeal_router/serve.py
+++ b/packages/snipedeal-router/src/snipedeal_router/serve.py
@@ -10,12 +10,13 @@
 from snipedeal_router import claimant
 from snipedeal_router import dispatcher
 from snipedeal_router import incidents
+from snipedeal_router import orders
 from snipedeal_router import snapshots
 from snipedeal_router.app import make_app
 from snipedeal_router.router import Router
 
 #: Modules whose import registers plug-ins.
-REGISTERED = (claimant, dispatcher, incidents, snapshots)
+REGISTERED = (claimant, dispatcher, incidents, orders, snapshots)
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- a/packages/snipedeal-router/src/snipedeal_router/waits.py
+++ b/packages/snipedeal-router/src/snipedeal_router/waits.py
@@ -16,10 +16,12 @@
 
 @attrs.define
 class WaitEstimator:
-    """Smoothed intervals between takes, by service and customer."""
+    """Smoothed intervals between takes and durations, by service and customer."""
 
     _paces: collections.OrderedDict[str, _Pace] = attrs.Factory(collections.OrderedDict)
 
+    _runs: collections.OrderedDict[str, float] = attrs.Factory(collections.OrderedDict)
+
     def observe_take(self, service: str, customer: str, now_ms: int) -> None:
         """Note that a waiting request was taken.
 
@@ -37,6 +39,19 @@
         if len(self._paces) > defaults.ESTIMATE_KEYS_LIMIT:
             self._paces.popitem(last=False)
 
+    def observe_run(self, service: str, customer: str, duration_ms: int) -> None:
+        """Note how long a whole answer took from its dispatch."""
+        key = f"{service}/{customer}"
+        before = self._runs.pop(key, float(duration_ms))
+        step = defaults.WAIT_SMOOTHING * (duration_ms - before)
+        self._runs[key] = before + step
+        if len(self._runs) > defaults.ESTIMATE_KEYS_LIMIT:
+            self._runs.popitem(last=False)
+
+    def run_ms(self, service: str, customer: str) -> int:
+        """Return how long a customer's request runs, zero where unknown."""
+        return int(self._runs.get(f"{service}/{customer}", 0.0))
+
     def expected_ms(self, service: str, customer: str, waiting: int) -> int:
         """Return the expected wait of a request behind others.
 
--- a/packages/snipedeal-standins/src/snipedeal_standins/serving.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/serving.py
@@ -9,6 +9,8 @@
 import falcon.asgi
 import uvicorn
 
+_KEEP_ALIVE_S = 75
+
 
 class Record:
     """Append what happened to a file, one JSON object a line.
@@ -43,6 +45,7 @@
         access_log=False,
         lifespan=lifespan,
         timeout_graceful_shutdown=1,
+        timeout_keep_alive=_KEEP_ALIVE_S,
         loop="asyncio",
     )
     asyncio.run(uvicorn.Server(config).serve())
--- a/packages/snipedeal/src/snipedeal/messages.py
+++ b/packages/snipedeal/src/snipedeal/messages.py
@@ -1,9 +1,10 @@
 """Typed messages between the project's processes, and their codec.
 
-A frame is a MessagePack array; each message in it is a pair of a code and a
-map. A reader takes fields it knows, fills missing ones from defaults, skips
-messages whose code it does not know, and refuses frames of a wire version
-outside the range that it supports.
+A frame is a MessagePack array; each message in it is a pair of a code and an
+array of the class's fields in order. Fields are only ever appended, with a
+default: a reader leaves out values that it has no field for, fills missing
+ones from defaults, skips messages whose code it does not know, and refuses
+frames of a wire version outside the range that it supports.
 """
 
 import typing as t
@@ -19,7 +20,7 @@
 #: Codes of messages that carry requests and answers rather than control.
 DATA_CODES: set[str] = set()
 
-_decoders: dict[str, msgspec.msgpack.Decoder] = {}
+_field_names: dict[str, list[str]] = {}
 _encoder = msgspec.msgpack.Encoder()
 _T = t.TypeVar("_T", bound=type)
 
@@ -33,7 +34,7 @@
 
     def decorate(cls: _T) -> _T:
         MESSAGE_TYPES[code] = cls
-        _decoders[code] = msgspec.msgpack.Decoder(cls)
+        _field_names[code] = [field.name for field in attrs.fields(cls)]
         cls.code = code
         if is_data:
             DATA_CODES.add(code)
@@ -180,14 +181,6 @@
     reason: str
 
 
-@register_message("started")
-@attrs.frozen
-class Started:
-    """Say that the target is being given the attempt."""
-
-    attempt: str
-
-
 @register_message("part", is_data=True)
 @attrs.frozen
 class Part:
@@ -406,7 +399,8 @@
 
     :param sender: name of the sending process.
     :param recipient: name of the process that is meant.
-    :param address: address at which the sender listens.
+    :param address: address at which the sender listens, empty once the
+        recipient has been heard and so knows it.
     :param session: the sender's side of the link session.
     :param peer_session: the recipient's session as the sender knows it, or 0.
     :param sequence: number of the frame, or 0 where it only acknowledges.
@@ -433,6 +427,7 @@
         int, str, str, str, int, int, int, int, int, int, list[tuple[str, msgspec.Raw]]
     ]
 )
+_values_decoder = msgspec.msgpack.Decoder(list[t.Any])
 _version_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
 
 
@@ -441,7 +436,9 @@
 
     :param message: an instance of a registered class.
     """
-    return message.code, msgspec.Raw(_encoder.encode(message))
+    names = _field_names[message.code]
+    values = [getattr(message, name) for name in names]
+    return message.code, msgspec.Raw(_encoder.encode(values))
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -497,13 +494,15 @@
     """Return a message, or ``None`` where its code is of a newer version.
 
     :param code: wire code.
-    :param payload: MessagePack map of its fields.
+    :param payload: MessagePack array of its fields.
     :raises MessageError: a field is missing or of another type.
     """
-    decoder = _decoders.get(code)
-    if decoder is None:
+    cls = MESSAGE_TYPES.get(code)
+    if cls is None:
         return None
     try:
-        return decoder.decode(payload)
+        values = _values_decoder.decode(payload)
+        fields = dict(zip(_field_names[code], values, strict=False))
+        return msgspec.convert(fields, cls)
     except msgspec.MsgspecError as error:
         raise MessageError(f"message {code}: {error}", step="decode") from error
--- a/packages/snipedeal/src/snipedeal/node.py
+++ b/packages/snipedeal/src/snipedeal/node.py
@@ -97,7 +97,11 @@
 
     async def start(self) -> None:
         """Open the transport and begin to follow the platform."""
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+        # idle connections are dropped before servers commonly drop them, since
+        # a call on a connection that was just closed looks like a lost one.
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=defaults.HTTP_KEEP_ALIVE_S
+        )
         self.session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
         self.log = LogClient(self.settings.platform.log_url, self.session)
         self._vm_list = VmListClient(self.settings.platform.vm_list_url, self.session)
--- a/packages/snipedeal/src/snipedeal/serving.py
+++ b/packages/snipedeal/src/snipedeal/serving.py
@@ -9,6 +9,7 @@
 import uvicorn
 
 _CLOSE_LIMIT_S = 5
+_KEEP_ALIVE_S = 75
 
 
 class HttpServer:
@@ -30,6 +31,7 @@
             loop="asyncio",
             http="httptools",
             timeout_graceful_shutdown=_CLOSE_LIMIT_S,
+            timeout_keep_alive=_KEEP_ALIVE_S,
         )
         self._server = _Server(config)
         self._task: asyncio.Task[None] | None = None
--- a/packages/snipedeal/src/snipedeal/transport.py
+++ b/packages/snipedeal/src/snipedeal/transport.py
@@ -28,14 +28,15 @@
 
 _TICK_MS = 100
 _FRAME_CODE = "frame"
+_DATA_FRAME_CODE = "data_frame"
 
 
 @attrs.define
 class Traffic:
     """Bytes through the sockets by message code.
 
-    :param sent: bytes sent by code; ``frame`` holds headers and
-        acknowledgements.
+    :param sent: bytes sent by code; ``data_frame`` holds the headers of
+        frames that carry requests or answers, ``frame`` those of the others.
     :param received: bytes received by code.
     """
 
@@ -159,6 +160,9 @@
         elif peer.address != address:
             peer.address = address
             _close_socket(peer)
+        elif self._may_be_forgotten(peer):
+            self.drop(name)
+            self._peers[name] = self._make_peer(name, address)
 
     def is_lost(self, name: str) -> bool:
         """Whether a peer was declared lost."""
@@ -203,6 +207,15 @@
         if peer is not None:
             _close_socket(peer)
 
+    def _may_be_forgotten(self, peer: _Peer) -> bool:
+        """Whether the peer may soon forget the link's session.
+
+        A new session is started in time, since what is sent in a forgotten
+        one would be lost.
+        """
+        limit_ms = defaults.LINK_FORGET_MS // 2
+        return self._is_idle(peer, self._clock.now_ms(), limit_ms)
+
     def _make_peer(self, name: str, address: str) -> _Peer:
         link = Link(self._clock.wall_ms(), self._clock.now_ms())
         return _Peer(name, address, link)
@@ -226,12 +239,14 @@
         sequence, body = peer.link.take_body(self._clock.now_ms())
         self._transmit(peer, sequence, body)
 
-    def _transmit(self, peer: _Peer, sequence: int, body: list) -> None:
+    def _transmit(
+        self, peer: _Peer, sequence: int, body: list, is_repeat: bool = False
+    ) -> None:
         wall_ms, counter = self._hybrid.tick()
         frame = Frame(
             self._name,
             peer.name,
-            self._advertise,
+            self._advertise if is_repeat or not peer.link.peer_session else "",
             peer.link.session,
             peer.link.peer_session,
             sequence,
@@ -276,8 +291,13 @@
         if frame.recipient != self._name:
             return
         self._hybrid.observe(frame.wall_ms, frame.counter)
-        self.connect(frame.sender, frame.address)
-        peer = self._peers[frame.sender]
+        if frame.address:
+            self.connect(frame.sender, frame.address)
+        peer = self._peers.get(frame.sender)
+        if peer is None:
+            # this process forgot the peer, which will say its address again
+            # once it notices that nothing is acknowledged.
+            return
         received = peer.link.receive(frame, self._clock.now_ms())
         if received.is_reset:
             self._handlers.on_reset(peer.name)
@@ -318,18 +338,20 @@
             self._send_due(peer, now_ms)
         elif action is LinkAction.SEND:
             self._send_due(peer, now_ms)
-        elif self._is_idle(peer, now_ms):
+        elif self._is_idle(peer, now_ms, defaults.LINK_FORGET_MS):
             self.drop(peer.name)
+        elif self._is_idle(peer, now_ms, defaults.LINK_IDLE_CLOSE_MS):
+            _close_socket(peer)
 
     def _send_due(self, peer: _Peer, now_ms: int) -> None:
         for sequence, body in peer.link.due_again(now_ms):
-            self._transmit(peer, sequence, body)
+            self._transmit(peer, sequence, body, is_repeat=True)
         self._send_new(peer)
 
-    def _is_idle(self, peer: _Peer, now_ms: int) -> bool:
+    def _is_idle(self, peer: _Peer, now_ms: int, limit_ms: int) -> bool:
         if peer.link.is_watched or not peer.link.is_quiet:
             return False
-        return now_ms - peer.link.last_used_ms >= defaults.LINK_IDLE_CLOSE_MS
+        return now_ms - peer.link.last_used_ms >= limit_ms
 
 
 def _dial(address: str) -> pynng.Pair1:
@@ -352,8 +374,11 @@
         length = len(code) + len(bytes(payload))
         totals[code] = totals.get(code, 0) + length
         rest -= length
-    totals[_FRAME_CODE] = totals.get(_FRAME_CODE, 0) + rest
+    has_data = any(code in DATA_CODES for code, _ in body)
+    name = _DATA_FRAME_CODE if has_data else _FRAME_CODE
+    totals[name] = totals.get(name, 0) + rest
 
 
 def _sum_control(totals: dict[str, int]) -> int:
-    return sum(size for code, size in totals.items() if code not in DATA_CODES)
+    data = DATA_CODES | {_DATA_FRAME_CODE}
+    return sum(size for code, size in totals.items() if code not in data)
