Cheaper answer path: one wake-up a part, shorter flush

Cause: the profile of a router at its target rate (18 requests/s, 5,490 tokens/s) shows a third of its own time in waiting for two events at every part, which makes two tasks a part; first tokens wait for flush timers of 5 and 10 ms. Change: one task a request wakes its reader when the caller goes; flush after 3 ms on both sides; a pause in reading only while frames queue up. They found that releasing a reservation raised the level for joining customers.

--- a/packages/snipedeal-router/src/snipedeal_router/answers.py
+++ b/packages/snipedeal-router/src/snipedeal_router/answers.py
@@ -116,6 +116,7 @@
     wants_usage: bool,
 ) -> t.AsyncIterator[bytes]:
     answer = request.answer
+    waker = asyncio.ensure_future(_wake_when_gone(request, gone))
     try:
         while not gone.is_set():
             changed = request.changed
@@ -126,8 +127,9 @@
             if request.is_ended:
                 yield _last_event(request)
                 return
-            await _wait_any(changed, gone)
+            await changed.wait()
     finally:
+        waker.cancel()
         dispatcher.abandon(request)
 
 
@@ -152,18 +154,20 @@
 async def _wait(
     request: Request, gone: asyncio.Event, is_done: t.Callable[[], bool]
 ) -> None:
-    while not is_done() and not gone.is_set():
-        await _wait_any(request.changed, gone)
-
-
-async def _wait_any(changed: asyncio.Event, gone: asyncio.Event) -> None:
-    """Wait for progress or for the caller to go."""
-    tasks = [
-        asyncio.ensure_future(changed.wait()),
-        asyncio.ensure_future(gone.wait()),
-    ]
+    waker = asyncio.ensure_future(_wake_when_gone(request, gone))
     try:
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        while not is_done() and not gone.is_set():
+            changed = request.changed
+            await changed.wait()
     finally:
-        for task in tasks:
-            task.cancel()
+        waker.cancel()
+
+
+async def _wake_when_gone(request: Request, gone: asyncio.Event) -> None:
+    """Wake the reader of a request when its caller goes.
+
+    One such task serves a whole answer; waiting for two events at every part
+    would cost two tasks a part.
+    """
+    await gone.wait()
+    request.notify()
--- a/packages/snipedeal/src/snipedeal/checking.py
+++ b/packages/snipedeal/src/snipedeal/checking.py
@@ -5,8 +5,10 @@
 import attrs
 import cattrs
 from cattrs.gen import make_dict_structure_fn
+from cattrs.v import format_exception
 
 _T = t.TypeVar("_T")
+_NAME_END = "\x1f"
 
 
 @attrs.frozen
@@ -48,7 +50,7 @@
     try:
         return _converter.structure(data, cls)
     except Exception as error:
-        lines = cattrs.transform_error(error)
+        lines = cattrs.transform_error(error, format_exception=_describe)
         raise CheckError([_read_fault(line) for line in lines]) from error
 
 
@@ -62,7 +64,7 @@
 
     def validate(instance: t.Any, attribute: attrs.Attribute, value: float) -> None:
         if not low <= value <= high:
-            raise ValueError(f"{value} is not in {low}..{high}")
+            raise FieldError(attribute, f"{value} is not in {low}..{high}")
 
     return validate
 
@@ -72,7 +74,7 @@
 
     def validate(instance: t.Any, attribute: attrs.Attribute, value: str) -> None:
         if value not in allowed:
-            raise ValueError(f"{value!r} is not one of {', '.join(allowed)}")
+            raise FieldError(attribute, f"{value!r} is not one of {', '.join(allowed)}")
 
     return validate
 
@@ -82,14 +84,39 @@
 
     def validate(instance: t.Any, attribute: attrs.Attribute, value: str) -> None:
         if not value.startswith(prefixes):
-            raise ValueError(f"{value!r} does not start with {' or '.join(prefixes)}")
+            raise FieldError(
+                attribute, f"{value!r} does not start with {' or '.join(prefixes)}"
+            )
 
     return validate
 
 
+class FieldError(ValueError):
+    """A validator refuses a value.
+
+    :param attribute: the attribute at fault; its constructor's caller knows
+        only the object.
+    """
+
+    def __init__(self, attribute: attrs.Attribute, message: str) -> None:
+        super().__init__(message)
+        self.name = attribute.name
+
+
+def _describe(error: BaseException, cls: type | None) -> str:
+    """Return one line about an error, with the attribute's name before it."""
+    if isinstance(error, FieldError):
+        return f"{error.name}{_NAME_END}{error}"
+    if isinstance(error, ValueError) and str(error):
+        return str(error)
+    return format_exception(error, cls)
+
+
 def _read_fault(line: str) -> Fault:
-    message, _, path = line.rpartition(" @ $")
-    return Fault(path.lstrip("."), message.removeprefix("invalid value for type, "))
+    text, _, path = line.rpartition(" @ $")
+    name, has_name, message = text.rpartition(_NAME_END)
+    parts = [path.lstrip("."), name] if has_name else [path.lstrip(".")]
+    return Fault(".".join(part for part in parts if part), message)
 
 
 def _make_converter() -> cattrs.Converter:
--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -3,7 +3,7 @@
 # -- link between processes ------------------------------------------------
 WIRE_VERSION = 1
 WIRE_VERSION_OLDEST = 1
-FLUSH_INTERVAL_MS = 5
+FLUSH_INTERVAL_MS = 3
 RECEIVE_PAUSE_MS = 2
 RETRANSMIT_AFTER_MS = 400
 REDIAL_AFTER_MS = 1_200
@@ -83,7 +83,7 @@
 FINISHED_KEPT_MS = 60_000
 FINISHED_KEPT = 2_000
 BODY_CHUNK_BYTES = 65_536
-AGENT_FLUSH_INTERVAL_MS = 10
+AGENT_FLUSH_INTERVAL_MS = 3
 
 # -- orders to targets ---------------------------------------------------------
 ORDER_TICK_MS = 500
--- a/packages/snipedeal/src/snipedeal/fairness.py
+++ b/packages/snipedeal/src/snipedeal/fairness.py
@@ -107,7 +107,9 @@
         :param units: service units divided by the share; negative to release.
         """
         account = self._accounts.setdefault(customer, _Account())
-        self._last_served = max(self._last_served, account.virtual_time)
+        if units > 0:
+            # a release is no service; it must not raise the level.
+            self._last_served = max(self._last_served, account.virtual_time)
         account.reserved = max(0.0, account.reserved + units)
 
     def deliver(self, customer: str, units: float) -> None:
--- a/packages/snipedeal/src/snipedeal/schemas.py
+++ b/packages/snipedeal/src/snipedeal/schemas.py
@@ -10,6 +10,7 @@
 import attrs
 from snipedeal import defaults
 from snipedeal.checking import CheckError
+from snipedeal.checking import FieldError
 from snipedeal.checking import in_range
 from snipedeal.checking import one_of
 from snipedeal.checking import starting_with
@@ -66,13 +67,17 @@
         digest = key.removeprefix(KEY_HASH_PREFIX)
         is_hash = key.startswith(KEY_HASH_PREFIX) and len(digest) == 64
         if not is_hash or set(digest) - set("0123456789abcdef"):
-            raise ValueError("each key is given as sha256: and 64 hexadecimal digits")
+            raise FieldError(
+                attribute, "each key is given as sha256: and 64 hexadecimal digits"
+            )
 
 
 def _check_shares(instance: t.Any, attribute: attrs.Attribute, value: dict) -> None:
     for service, share in value.items():
         if not 0.001 <= share <= 1_000_000:
-            raise ValueError(f"share {share} of {service} is not in 0.001..1000000")
+            raise FieldError(
+                attribute, f"share {share} of {service} is not in 0.001..1000000"
+            )
 
 
 @attrs.frozen
--- a/packages/snipedeal/src/snipedeal/settings.py
+++ b/packages/snipedeal/src/snipedeal/settings.py
@@ -7,6 +7,7 @@
 import attrs
 from snipedeal import defaults
 from snipedeal.checking import CheckError
+from snipedeal.checking import FieldError
 from snipedeal.checking import in_range
 from snipedeal.checking import one_of
 from snipedeal.checking import starting_with
@@ -63,7 +64,9 @@
     def _check_http(self, attribute: attrs.Attribute, value: str) -> None:
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-            raise ValueError(f"{value!r} is not host:port with a port of 1..65535")
+            raise FieldError(
+                attribute, f"{value!r} is not host:port with a port of 1..65535"
+            )
 
     @property
     def http_host(self) -> str:
--- a/packages/snipedeal/src/snipedeal/transport.py
+++ b/packages/snipedeal/src/snipedeal/transport.py
@@ -269,17 +269,22 @@
         while True:
             data = await self._inbox.arecv()
             self._take_frame(data)
-            self._drain()
-            await asyncio.sleep(defaults.RECEIVE_PAUSE_MS / 1000)
+            if self._drain():
+                # more than one frame waited: let the next ones gather.
+                await asyncio.sleep(defaults.RECEIVE_PAUSE_MS / 1000)
 
-    def _drain(self) -> None:
-        """Take everything that waits, which is cheaper than one wake-up each."""
-        for _ in range(defaults.SOCKET_BUFFER_MESSAGES):
+    def _drain(self) -> int:
+        """Take everything that waits, which is cheaper than one wake-up each.
+
+        :return: how many frames waited.
+        """
+        for count in range(defaults.SOCKET_BUFFER_MESSAGES):
             try:
                 data = self._inbox.recv(block=False)
             except pynng.TryAgain:
-                return
+                return count
             self._take_frame(data)
+        return defaults.SOCKET_BUFFER_MESSAGES
 
     def _take_frame(self, data: bytes) -> None:
         try:
--- /dev/null
+++ b/tests/test_answer.py
@@ -0,0 +1,64 @@
+import json
+
+import hypothesis
+import hypothesis.strategies as st
+from snipedeal.answer import Answer
+from snipedeal.answer import Verdict
+
+
+def chunk(text, run="1"):
+    return json.dumps({"id": run, "choices": [{"delta": {"content": text}}]}).encode()
+
+
+class TestParts:
+    @hypothesis.given(
+        st.lists(st.integers(0, 9), max_size=30), st.randoms(use_true_random=False)
+    )
+    def test_late_doubled_and_crossed_parts_make_one_whole_answer(self, order, chance):
+        whole = [chunk(str(number)) for number in range(10)]
+        answer = Answer()
+        answer.begin("a.1")
+        for start in order:
+            end = chance.randint(start, 10)
+            attempt = chance.choice(["a.1", "a.1", "b.1"])
+            answer.accept(attempt, start, whole[start:end])
+            assert answer.chunks == whole[: len(answer.chunks)]
+        answer.accept("a.1", answer.position, whole[answer.position :])
+        assert answer.chunks == whole
+        assert answer.is_whole(10)
+
+    def test_gap_is_noticed(self):
+        answer = Answer()
+        answer.begin("a.1")
+        assert answer.accept("a.1", 1, [b"x"]) is Verdict.GAP
+
+
+class TestRuns:
+    def test_equal_run_is_joined_without_doubling(self):
+        answer = Answer()
+        answer.begin("a.1")
+        answer.accept("a.1", 0, [chunk("x"), chunk("y")])
+        answer.delivered = 2
+        answer.begin("a.2")
+        parts = [chunk("x", "2"), chunk("y", "2"), chunk("z", "2")]
+        assert answer.accept("a.2", 0, parts) is Verdict.TAKEN
+        assert [json.loads(c)["choices"] for c in answer.chunks] == [
+            json.loads(c)["choices"] for c in parts
+        ]
+
+    def test_run_that_contradicts_what_the_caller_has_is_refused(self):
+        answer = Answer()
+        answer.begin("a.1")
+        answer.accept("a.1", 0, [chunk("x")])
+        answer.delivered = 1
+        answer.begin("a.2")
+        assert answer.accept("a.2", 0, [chunk("other")]) is Verdict.CONTRADICTION
+
+    def test_run_that_differs_replaces_what_nobody_has_seen(self):
+        answer = Answer()
+        answer.begin("a.1")
+        answer.accept("a.1", 0, [chunk("x"), chunk("y")])
+        answer.begin("a.2")
+        answer.accept("a.2", 0, [chunk("other")])
+        answer.close()
+        assert answer.chunks == [chunk("other")]
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,156 @@
+import json
+
+import hypothesis
+import hypothesis.strategies as st
+from snipedeal.configuration import ACCEPTED
+from snipedeal.configuration import REJECTED
+from snipedeal.configuration import UNUSABLE
+from snipedeal.configuration import Configuration
+
+KEY = "sha256:" + "0" * 64
+
+
+def record(name, base, share=1.0, version=1, kind="customer", deleted=False):
+    spec = {"share": share, "keys": [KEY]}
+    if version == 2:
+        spec = {"shares": {"*": share}, "keys": [KEY]}
+    return json.dumps(
+        {
+            "schema_version": version,
+            "id": "r",
+            "kind": kind,
+            "name": name,
+            "base_revision": base,
+            "spec": None if deleted else spec,
+        }
+    )
+
+
+def read(texts, start=0):
+    configuration = Configuration()
+    configuration.note_start(start)
+    results = [
+        configuration.apply(offset, text)
+        for offset, text in enumerate(texts)
+        if offset >= start
+    ]
+    return configuration, results
+
+
+class TestMerge:
+    def test_racing_operators_get_one_winner(self):
+        texts = [record("a", None), record("a", 0, 2.0), record("a", 0, 3.0)]
+        configuration, results = read(texts)
+        assert [r.status for r in results] == [ACCEPTED, ACCEPTED, REJECTED]
+        assert results[2].field == "base_revision"
+        assert configuration.customers["a"].share("any") == 2.0
+
+    def test_old_and_new_schema_side_by_side(self):
+        configuration, results = read(
+            [record("a", None), record("b", None, version=2), record("a", 0, version=2)]
+        )
+        assert {r.status for r in results} == {ACCEPTED}
+        assert set(configuration.customers) == {"a", "b"}
+
+    def test_unknown_schema_keeps_the_last_good_and_moves_the_revision(self):
+        texts = [record("a", None, 5.0), record("a", 0, version=9), record("a", 0)]
+        configuration, results = read(texts)
+        assert [r.status for r in results] == [ACCEPTED, UNUSABLE, REJECTED]
+        assert results[1].field == "schema_version"
+        assert results[1].offset == 1
+        assert configuration.customers["a"].share("any") == 5.0
+        assert configuration.revision("customer", "a") == 1
+
+    def test_bad_field_is_named(self):
+        text = json.loads(record("a", None))
+        text["spec"]["share"] = "much"
+        _, (result,) = read([json.dumps(text)])
+        assert result.status == UNUSABLE
+        assert result.field == "spec.share"
+
+    def test_older_offset_changes_nothing(self):
+        configuration, _ = read([record("a", None, 1.0), record("a", 0, 2.0)])
+        configuration.apply(0, record("a", None, 9.0))
+        assert configuration.customers["a"].share("any") == 2.0
+        assert configuration.offset == 1
+
+    def test_deleted_customer_loses_its_key(self):
+        configuration, _ = read([record("a", None), record("a", 0, deleted=True)])
+        assert configuration.customers == {}
+        assert configuration.find_customer(KEY) is None
+        assert configuration.revision("customer", "a") is None
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["a", "b"]),
+                st.one_of(st.none(), st.integers(0, 12)),
+                st.sampled_from([1, 2, 9]),
+                st.booleans(),
+            ),
+            max_size=14,
+        )
+    )
+    def test_same_winners_as_the_naive_rule_whatever_schema_is_known(self, items):
+        texts = [
+            record(name, base, version=version, deleted=deleted)
+            for name, base, version, deleted in items
+        ]
+        _, results = read(texts)
+        current = {}
+        for offset, (name, base, _, deleted) in enumerate(items):
+            wins = current.get(name) == base
+            assert (results[offset].status != REJECTED) == wins
+            if wins:
+                current[name] = None if deleted else offset
+
+
+class TestSnapshots:
+    texts = [
+        record("a", None),
+        record("b", None, 2.0),
+        record("a", 0, version=9),
+        record("b", 1, 4.0),
+    ]
+
+    def test_snapshot_and_the_rest_equal_the_whole_stream(self):
+        whole, _ = read([*self.texts, "gap", record("c", None)])
+        before, _ = read(self.texts)
+        stream = [*self.texts, *before.snapshot("s"), record("c", None)]
+        late, _ = read(stream, start=3)
+        assert late.is_complete
+        assert late.customers == whole.customers
+        assert late.revision("customer", "a") == 2
+
+    def test_start_without_a_snapshot_is_incomplete(self):
+        late, _ = read(self.texts, start=2)
+        assert not late.is_complete
+        assert late.customers == {}
+
+    def test_adopts_a_newer_peer_only(self):
+        peer, _ = read(self.texts)
+        empty = Configuration()
+        assert empty.adopt(peer.snapshot("p"))
+        assert empty.customers == peer.customers
+        stale, _ = read(self.texts[:2])
+        assert not empty.adopt(stale.snapshot("old"))
+        assert empty.offset == 3
+
+    def test_half_a_snapshot_is_not_used(self):
+        peer, _ = read(self.texts)
+        part = json.loads(peer.snapshot("p")[0])
+        part["parts"] = 2
+        late, _ = read([*self.texts, json.dumps(part)], start=2)
+        assert not late.is_complete
+        assert not Configuration().adopt([json.dumps(part)])
+
+    def test_kinds_that_are_not_kept_still_move_revisions(self):
+        agent = Configuration(frozenset({"service"}))
+        agent.note_start(0)
+        results = [agent.apply(o, text) for o, text in enumerate(self.texts)]
+        _, expected = read(self.texts)
+        assert agent.customers == {}
+        assert agent.revision("customer", "b") == 3
+        assert [r.status != REJECTED for r in results] == [
+            r.status != REJECTED for r in expected
+        ]
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,104 @@
+import hypothesis
+import hypothesis.strategies as st
+from snipedeal import defaults
+from snipedeal.exchange import Exchange
+from snipedeal.exchange import exchange_interval_ms
+from snipedeal.fairness import VirtualTimes
+
+GATES = ["g0", "g1", "g2"]
+CUSTOMERS = ["a", "b", "c", "d"]
+
+
+def make_gates():
+    exchanges = {name: Exchange(name, "s", VirtualTimes()) for name in GATES}
+    for exchange in exchanges.values():
+        exchange.set_gates(GATES)
+    return exchanges
+
+
+def run_exchange(exchanges, cut=()):
+    for name, exchange in exchanges.items():
+        for owner, message in exchange.deltas().items():
+            if name in cut or owner in cut:
+                continue
+            answer = exchanges[owner].on_delta(name, message)
+            exchange.on_total(owner, answer)
+
+
+class TestSums:
+    @hypothesis.given(
+        st.lists(
+            st.one_of(
+                st.tuples(
+                    st.sampled_from(GATES),
+                    st.sampled_from(CUSTOMERS),
+                    st.integers(1, 100),
+                ),
+                st.sampled_from(["exchange", "cut g0", "cut g1", "cut g2"]),
+            ),
+            max_size=40,
+        )
+    )
+    def test_all_gates_come_to_the_naive_sum(self, steps):
+        exchanges = make_gates()
+        naive = dict.fromkeys(CUSTOMERS, 0)
+        for exchange in exchanges.values():
+            for customer in CUSTOMERS:
+                exchange.times.join(customer)
+        for step in steps:
+            if step == "exchange":
+                run_exchange(exchanges)
+            elif isinstance(step, str):
+                gone = step.split()[1]
+                run_exchange(exchanges, cut=(gone,))
+                for name, exchange in exchanges.items():
+                    if name != gone:
+                        exchange.on_peer_lost(gone)
+                    else:
+                        for other in GATES:
+                            exchange.on_peer_lost(other)
+            else:
+                gate, customer, units = step
+                exchanges[gate].times.deliver(customer, float(units))
+                naive[customer] += units
+        for _ in range(3):
+            run_exchange(exchanges)
+        for exchange in exchanges.values():
+            for customer in CUSTOMERS:
+                assert exchange.times.delivered(customer) == naive[customer]
+
+    def test_new_owner_starts_from_what_gates_remember(self):
+        exchanges = make_gates()
+        for exchange in exchanges.values():
+            for customer in CUSTOMERS:
+                exchange.times.join(customer)
+        for exchange in exchanges.values():
+            for customer in CUSTOMERS:
+                exchange.times.deliver(customer, 10.0)
+        run_exchange(exchanges)
+        run_exchange(exchanges)
+        exchanges.pop("g0")
+        for exchange in exchanges.values():
+            exchange.set_gates(["g1", "g2"])
+        for exchange in exchanges.values():
+            for customer in CUSTOMERS:
+                exchange.times.deliver(customer, 1.0)
+        run_exchange(exchanges)
+        run_exchange(exchanges)
+        for customer in CUSTOMERS:
+            assert exchanges["g1"].times.delivered(customer) == 32.0
+
+    def test_customer_that_joins_starts_at_a_peers_floor(self):
+        exchanges = make_gates()
+        exchanges["g0"].times.join("a")
+        exchanges["g0"].times.deliver("a", 500.0)
+        run_exchange(exchanges)
+        exchanges["g1"].times.join("b")
+        assert exchanges["g1"].times.virtual_time("b") == 500.0
+
+
+class TestInterval:
+    def test_grows_with_the_number_of_gates(self):
+        assert exchange_interval_ms(4) == defaults.EXCHANGE_INTERVAL_MIN_MS
+        per_peer_ms = defaults.EXCHANGE_INTERVAL_PER_PEER_MS
+        assert exchange_interval_ms(56) == 56 * per_peer_ms
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,164 @@
+import hypothesis
+import hypothesis.strategies as st
+from snipedeal import defaults
+from snipedeal.gate import Gate
+
+CUSTOMERS = ["a", "b", "c"]
+WEIGHTS = {"a": 1.0, "b": 1.0, "c": 2.0}
+
+
+class NaiveGate:
+    """Serve from one list, scanning all of it for every decision."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.waiting = []
+        self.received = dict.fromkeys(CUSTOMERS, 0.0)
+        self.level = 0.0
+        self.running = {}
+
+    def virtual(self, customer):
+        held = sum(units for who, units in self.running.values() if who == customer)
+        return self.received[customer] + held / WEIGHTS[customer]
+
+    def offer(self, customer):
+        if customer not in self.waiting:
+            others = [self.virtual(name) for name in set(self.waiting)]
+            level = min(others) if others else self.level
+            held = self.virtual(customer) - self.received[customer]
+            self.received[customer] = max(self.received[customer], level - held)
+        self.waiting.append(customer)
+
+    def take(self, number, units):
+        if len(self.running) >= self.slots or not self.waiting:
+            return None
+        customer = min(set(self.waiting), key=lambda name: (self.virtual(name), name))
+        self.level = max(self.level, self.virtual(customer))
+        self.waiting.remove(customer)
+        self.running[number] = (customer, units)
+        return customer
+
+    def finish(self, number):
+        customer, units = self.running.pop(number)
+        self.received[customer] += units / WEIGHTS[customer]
+
+
+class FixedEstimate:
+    """Know every cost in advance, so that both gates decide alike."""
+
+    def estimate(self, customer, hint=0.0):
+        return 10.0
+
+    def observe(self, customer, cost):
+        pass
+
+
+class TestAgainstNaive:
+    @hypothesis.given(
+        st.lists(st.sampled_from([*CUSTOMERS, "finish"]), max_size=60),
+        st.integers(1, 3),
+    )
+    def test_same_order_of_service(self, steps, slots):
+        gate = Gate(slots, estimator=FixedEstimate())
+        naive = NaiveGate(slots)
+        counts = dict.fromkeys(CUSTOMERS, 0)
+        running = []
+        number = 0
+        for step in steps:
+            if step == "finish":
+                if not running:
+                    continue
+                done = running.pop(0)
+                gate.deliver(done, 10.0)
+                gate.finish(done, True)
+                naive.finish(done)
+            else:
+                counts[step] += 1
+                gate.set_offer("r", step, WEIGHTS[step], counts[step])
+                naive.offer(step)
+            for take in gate.next_takes(0):
+                number += 1
+                attempt = str(number)
+                assert take.customer == naive.take(attempt, 10.0)
+                counts[take.customer] -= 1
+                weight = WEIGHTS[take.customer]
+                assert gate.admit(attempt, take.customer, weight, 0.0, take.ticket)
+                running.append(attempt)
+            assert naive.take("none", 10.0) is None
+
+
+class TestAdmission:
+    def test_unasked_attempt_is_declined_while_others_wait(self):
+        gate = Gate(1)
+        assert gate.admit("x", "a", 1.0, 0.0)
+        gate.set_offer("r", "b", 1.0, 1)
+        gate.finish("x", True)
+        assert not gate.admit("y", "a", 1.0, 0.0)
+
+    def test_closed_gate_takes_and_admits_nothing(self):
+        gate = Gate(2, is_open=False)
+        gate.set_offer("r", "a", 1.0, 1)
+        assert gate.next_takes(0) == []
+        assert not gate.admit("x", "a", 1.0, 0.0)
+
+    def test_ticket_whose_answer_stays_out_gives_its_slot_back(self):
+        gate = Gate(1)
+        gate.set_offer("r", "a", 1.0, 1)
+        (take,) = gate.next_takes(0)
+        assert gate.free == 0
+        assert gate.expire_tickets(defaults.TAKE_TIMEOUT_MS) == [take.ticket]
+        assert gate.free == 1
+
+    def test_lost_router_frees_its_offers_and_tickets(self):
+        gate = Gate(1)
+        gate.set_offer("r", "a", 1.0, 3)
+        gate.next_takes(0)
+        gate.forget_router("r")
+        assert gate.free == 1
+        assert gate.queued() == 0
+
+    def test_suspect_runs_alone(self):
+        gate = Gate(3)
+        assert gate.admit("x", "a", 1.0, 0.0)
+        gate.set_offer("r", "b", 1.0, 5)
+        (first, second) = gate.next_takes(0)
+        assert not gate.admit("s", "a", 1.0, 0.0, first.ticket, is_solo=True)
+        assert gate.is_waiting_solo("s")
+        gate.release_ticket(second.ticket)
+        assert gate.next_takes(0) == []
+        gate.finish("x", True)
+        assert gate.admit("s", "a", 1.0, 0.0, is_solo=True)
+        assert gate.next_takes(0) == []
+        assert not gate.admit("z", "a", 1.0, 0.0)
+        gate.finish("s", True)
+        assert len(gate.next_takes(0)) == 3
+
+
+class TestCharging:
+    def test_released_reservation_does_not_raise_the_level(self):
+        gate = Gate(2, estimator=FixedEstimate())
+        for number in range(2):
+            gate.set_offer("r", "a", 1.0, 1)
+            (take,) = gate.next_takes(0)
+            gate.admit(str(number), "a", 1.0, 0.0, take.ticket)
+        gate.set_offer("r", "b", 1.0, 1)
+        assert gate.times.virtual_time("b") == 10.0
+
+    def test_wrong_estimate_is_settled_at_the_end(self):
+        gate = Gate(1)
+        gate.admit("x", "a", 2.0, 1000.0)
+        gate.deliver("x", 30.0)
+        gate.finish("x", True)
+        assert gate.times.virtual_time("a") == 15.0
+
+    def test_idleness_saves_up_no_credit(self):
+        gate = Gate(1)
+        gate.set_offer("r", "a", 1.0, 10)
+        for number in range(20):
+            (take,) = gate.next_takes(0)
+            gate.admit(str(number), "a", 1.0, 0.0, take.ticket)
+            gate.deliver(str(number), 100.0)
+            gate.set_offer("r", "a", 1.0, 10)
+            gate.finish(str(number), True)
+        gate.set_offer("r", "b", 1.0, 10)
+        assert gate.times.virtual_time("b") == gate.times.virtual_time("a") == 2000.0
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,44 @@
+from snipedeal.orders import FenceGuard
+from snipedeal.orders import OrderBook
+from snipedeal.orders import fulfilled_text
+from snipedeal.orders import lease_text
+
+
+class TestOrderBook:
+    def test_later_lease_supersedes(self):
+        book = OrderBook()
+        book.apply(0, lease_text("s", "r0"))
+        book.apply(1, lease_text("s", "r1"))
+        assert book.fence("s") == 1
+        assert book.holder("s") == "r1"
+
+    def test_superseded_holder_cannot_declare_a_wish_fulfilled(self):
+        book = OrderBook()
+        book.apply(0, lease_text("s", "r0"))
+        book.apply(1, lease_text("s", "r1"))
+        book.apply(2, fulfilled_text("s", 0, "w"))
+        assert not book.is_fulfilled("s", "w")
+        book.apply(3, fulfilled_text("s", 1, "w"))
+        assert book.is_fulfilled("s", "w")
+
+    def test_bad_records_change_nothing(self):
+        book = OrderBook()
+        for offset, text in enumerate(["", "[]", "{}", '{"t": "lease"}', "1"]):
+            book.apply(offset, text)
+        assert book.fence("s") == -1
+
+
+class TestFenceGuard:
+    def test_frozen_process_reads_again(self):
+        guard = FenceGuard(500)
+        assert not guard.is_fresh(0)
+        guard.note_read(0, 3)
+        assert guard.is_fresh(500)
+        assert not guard.is_fresh(501)
+
+    def test_superseded_order_is_not_current(self):
+        guard = FenceGuard(500)
+        guard.note_read(0, 3)
+        assert guard.is_current(3)
+        guard.note_acted(5)
+        assert not guard.is_current(4)
