Bench; less memory for customers, smaller exchange, fewer acknowledgements

Cause, from slopes: a router took 2.29 KB for each customer (69 MB at 30,000, the limit is 32) and an agent, which needs none of it, 1.79 KB; an exchange of 60 gates sent 4.3 KB/s a node; acknowledgements every 100 ms were most of the control bytes of a link that carries a stream. Ruled out: dropping customers that are not in use (the log can't be asked for one object). Fewer owners of sums: it moves the bytes to a few gates.

--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,112 @@
+"""Placement by prefix against placement by spread, in one run."""
+
+import asyncio
+import pathlib
+import random
+import time
+import typing as t
+
+from snipedeal_standins.fleet import Fleet
+from snipedeal_standins.history import WHOLE
+from snipedeal_standins.history import read_runs
+from snipedeal_standins.load import Caller
+from snipedeal_standins.load import run_closed_loop
+from snipedeal_standins.measures import fairness_gap
+from snipedeal_standins.measures import percentile
+from snipedeal_standins.measures import service_samples
+from snipedeal_standins.scenarios import MODEL
+from snipedeal_standins.scenarios import small_plan
+
+from bench.processes import run_open_loop
+
+_ENGINES = 4
+_PREFIXES = 24
+_PREFIX_LENGTH = 4_000
+_CALLS_S = 20.0
+_TOKENS = 20
+_SHARES = {f"c{number}": 1.0 for number in range(8)}
+
+
+async def compare_placements(
+    directory: pathlib.Path, seconds: float
+) -> dict[str, t.Any]:
+    """Return hit rate, first-token time and gap of both placements."""
+    return {
+        name: await _measure(directory / name, name, seconds)
+        for name in ("spread", "prefix")
+    }
+
+
+async def _measure(
+    directory: pathlib.Path, placement: str, seconds: float
+) -> dict[str, t.Any]:
+    options = {
+        "cache_blocks": _PREFIXES * (_PREFIX_LENGTH // 64) // 3,
+        "prefill_per_token_ms": 0.2,
+    }
+    plan = small_plan(
+        _SHARES,
+        engines=_ENGINES,
+        plains=0,
+        engine_options=options,
+        router_settings={"placement": placement},
+    )
+    fleet = Fleet(plan, directory)
+    chance = random.Random(7)
+    try:
+        await fleet.start()
+        caller = Caller(fleet.session)
+
+        async def call(number: int) -> t.Any:
+            prefix = chance.randrange(_PREFIXES)
+            prompt = f"shared document {prefix:02d} " + "x" * _PREFIX_LENGTH
+            return await caller.chat(
+                fleet.router_urls[number % 2],
+                f"c{prefix % len(_SHARES)}",
+                MODEL,
+                _TOKENS,
+                prompt=prompt,
+            )
+
+        calls = await run_open_loop(call, _CALLS_S, seconds)
+        runs = read_runs(_record_paths(fleet))
+        starts = [run for run in runs if run.event == "start"]
+        hits = sum(run.fields["cached_tokens"] for run in starts)
+        asked = sum(run.fields["prompt_tokens"] for run in starts)
+        firsts = [c.first_ms - c.sent_ms for c in calls if c.outcome == WHOLE]
+        gap = await _measure_gap(fleet, seconds)
+        return {
+            "hit_rate": hits / max(1, asked),
+            "first_token_p50_ms": percentile(firsts, 50),
+            "first_token_p95_ms": percentile(firsts, 95),
+            "gap": gap,
+            "calls": len(calls),
+        }
+    finally:
+        await fleet.close()
+
+
+async def _measure_gap(fleet: Fleet, seconds: float) -> float:
+    """Return the gap with two customers backlogged on a prefix each."""
+    caller = Caller(fleet.session)
+    until = time.monotonic() + seconds
+    started_ms = int(time.time() * 1000)
+
+    def call(customer: str) -> t.Any:
+        prompt = f"document of {customer} " + "x" * _PREFIX_LENGTH
+        return lambda: caller.chat(
+            fleet.router_urls[0], customer, MODEL, _TOKENS, prompt=prompt
+        )
+
+    await asyncio.gather(
+        run_closed_loop(call("c0"), 40, until), run_closed_loop(call("c1"), 20, until)
+    )
+    paths = _record_paths(fleet)
+    samples = service_samples(read_runs(paths), 250, set(paths))
+    window = (started_ms + 1_500, started_ms + int(seconds * 1000) - 500)
+    return fairness_gap(samples, {"c0": 1.0, "c1": 1.0}, *window)
+
+
+def _record_paths(fleet: Fleet) -> dict[str, pathlib.Path]:
+    names = [target.name for target in fleet.plan.targets]
+    return {name: fleet.record_path(name) for name in names}
--- a/packages/snipedeal-agent/src/snipedeal_agent/sums.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/sums.py
@@ -40,7 +40,9 @@
 
     async def _run(self) -> None:
         while True:
-            interval_ms = exchange_interval_ms(len(self._exchange.peers))
+            interval_ms = exchange_interval_ms(
+                len(self._exchange.peers), len(self._exchange.times.backlogged)
+            )
             await asyncio.sleep(interval_ms / 1000)
             self._exchange.forget_idle()
             for gate, message in self._exchange.deltas().items():
--- a/packages/snipedeal-router/src/snipedeal_router/admission.py
+++ b/packages/snipedeal-router/src/snipedeal_router/admission.py
@@ -13,6 +13,7 @@
 from snipedeal.messages import ClaimClose
 from snipedeal.schemas import ANY
 from snipedeal.schemas import KEY_HASH_PREFIX
+from snipedeal.schemas import Customer
 from snipedeal.schemas import Service
 
 from snipedeal_router.claimhome import INCOMPLETE
@@ -90,7 +91,7 @@
         service = self._node.configuration.services.get(name)
         if service is None:
             raise refuse(404, "unknown_service", f"no service {name!r}", "route")
-        if not self._node.configuration.customers[customer].may_use(name):
+        if not self._customer(customer).may_use(name):
             detail = f"service {name!r} is not open to {customer}"
             raise refuse(403, "not_open", detail, "authorize")
         return service
@@ -143,6 +144,13 @@
             return
         self._router.plugins["dispatcher"].submit(request)
 
+    def _customer(self, name: str) -> Customer:
+        """Return a customer that was just authenticated."""
+        customer = self._node.configuration.customer(name)
+        if customer is None:
+            raise refuse(401, "wrong_key", "the customer is gone", "authenticate")
+        return customer
+
     def _check_ready(self) -> None:
         node = self._node
         if node.is_closing:
@@ -152,7 +160,7 @@
 
     def _make_request(self, call: Call, service: Service) -> Request:
         now_ms = self._node.clock.now_ms()
-        customer = self._node.configuration.customers[call.customer]
+        customer = self._customer(call.customer)
         is_idempotent = _is_idempotent(call, service)
         key = "" if is_idempotent else _claim_key(call)
         request = Request(
@@ -191,7 +199,7 @@
 
     def _check_room(self, request: Request) -> None:
         dispatcher = self._router.plugins["dispatcher"]
-        customer = self._node.configuration.customers[request.customer]
+        customer = self._customer(request.customer)
         waiting = dispatcher.waiting_of(request.service, request.customer)
         if waiting >= customer.max_queued:
             detail = f"{waiting} requests of {request.customer} wait already"
--- a/packages/snipedeal-router/src/snipedeal_router/app.py
+++ b/packages/snipedeal-router/src/snipedeal_router/app.py
@@ -118,11 +118,11 @@
 
     def _open_models(self, customer: str) -> list[str]:
         configuration = self._router.node.configuration
-        who = configuration.customers[customer]
+        who = configuration.customer(customer)
         return sorted(
             name
             for name, service in configuration.services.items()
-            if service.dialect == "openai" and who.may_use(name)
+            if service.dialect == "openai" and who and who.may_use(name)
         )
 
 
--- a/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
+++ b/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
@@ -496,7 +496,7 @@
         return backlog
 
     def _share(self, customer: str, service: str) -> float:
-        found = self._node.configuration.customers.get(customer)
+        found = self._node.configuration.customer(customer)
         return found.share(service) if found else 1.0
 
     def _forget_attempt(self, request: Request) -> None:
--- a/packages/snipedeal-standins/src/snipedeal_standins/fleet.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/fleet.py
@@ -104,6 +104,10 @@
         """Return the base URL of a process of the project."""
         return f"http://127.0.0.1:{self._ports[name].http}"
 
+    def peer_address(self, name: str) -> str:
+        """Return the address at which a process's peers reach it."""
+        return self._advertised(name)
+
     def target_url(self, name: str) -> str:
         """Return the base URL of a target."""
         return f"http://127.0.0.1:{self._ports[name].target}"
--- a/packages/snipedeal-standins/src/snipedeal_standins/log.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/log.py
@@ -111,6 +111,8 @@
         """Change some of the faults."""
         changes = await req.get_media()
         self.faults = attrs.evolve(self.faults, **changes)
+        for stream in self._streams.values():
+            self._drop_old(stream)
         if self.faults.is_out:
             for stream in self._streams.values():
                 stream.changed.set()
--- a/packages/snipedeal/src/snipedeal/configuration.py
+++ b/packages/snipedeal/src/snipedeal/configuration.py
@@ -8,6 +8,7 @@
 last usable specification in force.
 """
 
+import collections
 import json
 import typing as t
 
@@ -16,12 +17,15 @@
 from snipedeal.checking import structure
 from snipedeal.checking import unstructure
 from snipedeal.exceptions import RecordError
+from snipedeal.schemas import KEY_HASH_PREFIX
 from snipedeal.schemas import Customer
 from snipedeal.schemas import Pool
 from snipedeal.schemas import Service
 from snipedeal.schemas import parse_spec
 
 SNAPSHOT_KIND = "snapshot"
+CUSTOMER = "customer"
+PARSED_CUSTOMERS_KEPT = 4_096
 SNAPSHOT_OBJECTS_PER_PART = 1_000
 NOTHING_APPLIED = -1
 
@@ -84,16 +88,26 @@
 
 
 @attrs.define
-class ConfigObject:
-    """An object's current revision and what is in force of it."""
+class _Object:
+    """An object's current revision, and what is in force of it.
 
-    stored: StoredObject
-    value: t.Any = None
+    Specifications are kept as JSON text, which takes a fraction of the memory
+    of parsed ones.
+
+    :param spec: the current specification, ``None`` where it was deleted.
+    :param usable_spec: the last one that this process could use.
+    """
+
+    revision: int
+    schema_version: int
+    spec: str | None
+    usable_version: int = 0
+    usable_spec: str | None = None
 
     @property
     def is_deleted(self) -> bool:
         """Whether the current revision deletes the object."""
-        return self.stored.spec is None
+        return self.spec is None
 
 
 @attrs.frozen
@@ -125,20 +139,25 @@
 class Configuration:
     """The configuration in force and the offset up to which it goes.
 
+    Customers are many and few are in use at one process, so that they are
+    parsed when asked for.
+
     :param kinds: kinds to keep; ``None`` keeps all. A process beside a
         target has no use for customers.
     """
 
     kinds: frozenset[str] | None = None
-    customers: dict[str, Customer] = attrs.Factory(dict)
     services: dict[str, Service] = attrs.Factory(dict)
     pools: dict[str, Pool] = attrs.Factory(dict)
     _offset: int = NOTHING_APPLIED
     _is_complete: bool = False
-    _objects: dict[tuple[str, str], ConfigObject] = attrs.Factory(dict)
+    _objects: dict[str, dict[str, _Object]] = attrs.Factory(dict)
     _waiting: list[_Waiting] = attrs.Factory(list)
     _parts: dict[str, dict[int, SnapshotPart]] = attrs.Factory(dict)
-    _customer_by_key: dict[str, str] = attrs.Factory(dict)
+    _customer_by_key: dict[bytes, str] = attrs.Factory(dict)
+    _parsed: collections.OrderedDict[str, Customer] = attrs.Factory(
+        collections.OrderedDict
+    )
 
     @property
     def offset(self) -> int:
@@ -151,19 +170,45 @@
         return self._is_complete
 
     def find_customer(self, key_hash: str) -> str | None:
-        """Return the name of the customer that a key's hash belongs to."""
-        return self._customer_by_key.get(key_hash)
+        """Return the name of the customer that a key's hash belongs to.
+
+        :param key_hash: ``sha256:`` and 64 hexadecimal digits.
+        """
+        return self._customer_by_key.get(_compact_key(key_hash))
+
+    def customer(self, name: str) -> Customer | None:
+        """Return a customer, ``None`` where it does not exist."""
+        known = self._parsed.get(name)
+        if known is not None:
+            return known
+        found = self._objects.get(CUSTOMER, {}).get(name)
+        if found is None or found.usable_spec is None:
+            return None
+        parsed = _parse_text(CUSTOMER, found.usable_version, found.usable_spec)
+        self._parsed[name] = parsed
+        if len(self._parsed) > PARSED_CUSTOMERS_KEPT:
+            self._parsed.popitem(last=False)
+        return parsed
+
+    def customer_names(self) -> list[str]:
+        """Return the names of all customers in force."""
+        found = self._objects.get(CUSTOMER, {})
+        return [name for name, item in found.items() if item.usable_spec is not None]
 
     def revision(self, kind: str, name: str) -> int | None:
         """Return the current revision of an object, ``None`` if it never was."""
-        found = self._objects.get((kind, name))
+        found = self._objects.get(kind, {}).get(name)
         if found is None or found.is_deleted:
             return None
-        return found.stored.revision
+        return found.revision
 
     def objects(self) -> list[StoredObject]:
         """Return all objects, in the order of their revisions."""
-        stored = [found.stored for found in self._objects.values()]
+        stored = [
+            _to_stored(kind, name, item)
+            for kind, members in self._objects.items()
+            for name, item in members.items()
+        ]
         return sorted(stored, key=lambda item: item.revision)
 
     def note_start(self, start: int) -> None:
@@ -251,16 +296,17 @@
 
     def _load(self, parts: list[SnapshotPart]) -> None:
         self._objects.clear()
-        self.customers.clear()
         self.services.clear()
         self.pools.clear()
         self._customer_by_key.clear()
+        self._parsed.clear()
         self._offset = parts[0].covers
         self._is_complete = True
         self._parts.clear()
         for part in sorted(parts, key=lambda item: item.part):
             for stored in part.objects:
-                self._restore(stored)
+                if self._is_kept(stored.kind):
+                    self._restore(stored)
 
     def _replay(self) -> None:
         waiting = self._waiting
@@ -273,23 +319,20 @@
             self._offset = record.offset
 
     def _restore(self, stored: StoredObject) -> None:
-        if not self._is_kept(stored.kind):
-            stored = attrs.evolve(stored, spec=stored.spec and True, usable_spec=None)
-            self._objects[stored.kind, stored.name] = ConfigObject(stored)
-            return
-        found = ConfigObject(stored)
-        self._objects[stored.kind, stored.name] = found
-        for version, spec in (
+        spec = None if stored.spec is None else _to_text(stored.spec)
+        item = _Object(stored.revision, stored.schema_version, spec)
+        self._objects.setdefault(stored.kind, {})[stored.name] = item
+        for version, candidate in (
             (stored.schema_version, stored.spec),
             (stored.usable_version, stored.usable_spec),
         ):
-            if version is None or spec is None:
+            if version is None or candidate is None:
                 continue
             try:
-                value = parse_spec(stored.kind, version, spec)
+                value = parse_spec(stored.kind, version, candidate)
             except RecordError:
                 continue
-            self._put_in_force(found, version, spec, value)
+            self._put_in_force(stored.kind, stored.name, version, candidate, value)
             return
 
     def _apply_record(self, offset: int, record: Record) -> Applied:
@@ -298,6 +341,8 @@
                 offset, status, reason, field, record.id, record.kind, record.name
             )
 
+        if not self._is_kept(record.kind):
+            return result(IGNORED, "this process keeps no objects of the kind")
         current = self.revision(record.kind, record.name)
         if record.base_revision != current:
             return result(
@@ -305,70 +350,60 @@
                 f"base revision {record.base_revision} is not the current {current}",
                 "base_revision",
             )
-        found = self._advance(offset, record)
+        self._advance(offset, record)
         if record.spec is None:
-            self._take_out_of_force(found)
+            self._take_out_of_force(record.kind, record.name)
             return result(ACCEPTED, "deleted")
-        if not self._is_kept(record.kind):
-            return result(ACCEPTED)
         try:
             value = parse_spec(record.kind, record.schema_version, record.spec)
         except RecordError as error:
             return result(UNUSABLE, error.message, error.field)
-        self._put_in_force(found, record.schema_version, record.spec, value)
+        self._put_in_force(
+            record.kind, record.name, record.schema_version, record.spec, value
+        )
         return result(ACCEPTED)
 
-    def _advance(self, offset: int, record: Record) -> ConfigObject:
+    def _advance(self, offset: int, record: Record) -> None:
         """Move the object's revision, keeping what is in force."""
-        key = (record.kind, record.name)
-        before = self._objects.get(key)
-        spec = record.spec
-        if spec is not None and not self._is_kept(record.kind):
-            spec = True
-        stored = StoredObject(
-            record.kind,
-            record.name,
-            offset,
-            record.schema_version,
-            spec,
-            before.stored.usable_version if before else None,
-            before.stored.usable_spec if before else None,
-        )
-        found = ConfigObject(stored, before.value if before else None)
-        self._objects[key] = found
-        return found
+        members = self._objects.setdefault(record.kind, {})
+        spec = None if record.spec is None else _to_text(record.spec)
+        item = members.get(record.name)
+        if item is None:
+            members[record.name] = _Object(offset, record.schema_version, spec)
+            return
+        item.revision = offset
+        item.schema_version = record.schema_version
+        item.spec = spec
 
     def _put_in_force(
-        self, found: ConfigObject, version: int, spec: t.Any, value: t.Any
+        self, kind: str, name: str, version: int, spec: t.Any, value: t.Any
     ) -> None:
-        self._take_out_of_force(found)
-        found.stored = attrs.evolve(
-            found.stored, usable_version=version, usable_spec=spec
-        )
-        found.value = value
-        name = found.stored.name
+        self._take_out_of_force(kind, name)
+        item = self._objects[kind][name]
+        text = _to_text(spec)
+        item.usable_version = version
+        item.usable_spec = item.spec if item.spec == text else text
         if isinstance(value, Customer):
-            self.customers[name] = value
-            self._customer_by_key.update(dict.fromkeys(value.keys, name))
+            for key in value.keys:
+                self._customer_by_key[_compact_key(key)] = name
         elif isinstance(value, Service):
             self.services[name] = value
         elif isinstance(value, Pool):
             self.pools[name] = value
 
-    def _take_out_of_force(self, found: ConfigObject) -> None:
-        name = found.stored.name
-        value = found.value
-        if isinstance(value, Customer):
-            self.customers.pop(name, None)
-            for key in value.keys:
-                if self._customer_by_key.get(key) == name:
-                    del self._customer_by_key[key]
-        elif isinstance(value, Service):
+    def _take_out_of_force(self, kind: str, name: str) -> None:
+        item = self._objects[kind][name]
+        if kind == CUSTOMER:
+            before = self.customer(name)
+            for key in before.keys if before else ():
+                if self._customer_by_key.get(_compact_key(key)) == name:
+                    del self._customer_by_key[_compact_key(key)]
+            self._parsed.pop(name, None)
+        elif kind == "service":
             self.services.pop(name, None)
-        elif isinstance(value, Pool):
+        elif kind == "pool":
             self.pools.pop(name, None)
-        found.value = None
-        found.stored = attrs.evolve(found.stored, usable_version=None, usable_spec=None)
+        item.usable_spec = None
 
     def _is_kept(self, kind: str) -> bool:
         return self.kinds is None or kind in self.kinds
@@ -399,6 +434,35 @@
         raise RecordError("nothing to delete without a base", field="base_revision")
 
 
+def _to_text(spec: t.Any) -> str:
+    return json.dumps(spec, separators=(",", ":"))
+
+
+def _parse_text(kind: str, version: int, text: str) -> t.Any:
+    return parse_spec(kind, version, json.loads(text))
+
+
+def _to_stored(kind: str, name: str, item: _Object) -> StoredObject:
+    has_usable = item.usable_spec is not None
+    return StoredObject(
+        kind,
+        name,
+        item.revision,
+        item.schema_version,
+        None if item.spec is None else json.loads(item.spec),
+        item.usable_version if has_usable else None,
+        json.loads(item.usable_spec) if item.usable_spec is not None else None,
+    )
+
+
+def _compact_key(key_hash: str) -> bytes:
+    """Return a key's hash in few bytes; half of it tells keys apart."""
+    try:
+        return bytes.fromhex(key_hash.removeprefix(KEY_HASH_PREFIX))[:16]
+    except ValueError:
+        return b""
+
+
 def _parse_envelope(data: str) -> Record | SnapshotPart | RecordError:
     try:
         fields = json.loads(data)
--- a/packages/snipedeal/src/snipedeal/exchange.py
+++ b/packages/snipedeal/src/snipedeal/exchange.py
@@ -18,18 +18,19 @@
 from snipedeal.utils import rendezvous_owner
 
 
-def exchange_interval_ms(peer_count: int) -> int:
+def exchange_interval_ms(peer_count: int, customer_count: int) -> int:
     """Return how often a gate exchanges sums.
 
-    The interval grows with the number of peers, so that control bytes per
-    second stay level.
+    The interval grows with what an exchange sends, so that its bytes per
+    second stay within their budget.
 
     :param peer_count: other gates of the service.
+    :param customer_count: customers whose sums are sent or received.
     """
-    return max(
-        defaults.EXCHANGE_INTERVAL_MIN_MS,
-        peer_count * defaults.EXCHANGE_INTERVAL_PER_PEER_MS,
-    )
+    size = peer_count * defaults.EXCHANGE_BYTES_PER_PEER
+    size += customer_count * defaults.EXCHANGE_BYTES_PER_CUSTOMER
+    interval_ms = size * 1000 // defaults.EXCHANGE_BUDGET_BYTES_PER_S
+    return max(defaults.EXCHANGE_INTERVAL_MIN_MS, interval_ms)
 
 
 @attrs.define
@@ -45,7 +46,7 @@
     service: str
     times: VirtualTimes
     _gates: list[str] = attrs.Factory(list)
-    _owned: dict[str, float] = attrs.Factory(dict)
+    _owned: dict[str, int] = attrs.Factory(dict)
     _waiting: dict[str, dict[str, CustomerDelta]] = attrs.Factory(dict)
 
     @property
@@ -146,7 +147,7 @@
         self.times.apply_totals(totals, items)
 
     def _add(self, customer: str, delta: CustomerDelta) -> None:
-        base = max(self._owned.get(customer, 0.0), delta.known)
+        base = max(self._owned.get(customer, 0), delta.known)
         self._owned[customer] = base + delta.units
 
     def _is_worth_sending(self, customer: str, message: ServiceDelta) -> bool:
--- a/packages/snipedeal/src/snipedeal/fairness.py
+++ b/packages/snipedeal/src/snipedeal/fairness.py
@@ -11,6 +11,7 @@
 the larger of two versions is always the newer one.
 """
 
+import math
 import typing as t
 
 import attrs
@@ -132,10 +133,12 @@
         for name, account in self._accounts.items():
             if customers is not None and name not in customers:
                 continue
-            if account.unsent or account.is_changed:
-                deltas[name] = CustomerDelta(account.unsent, account.known)
-                account.in_flight += account.unsent
-                account.unsent = 0.0
+            units = math.floor(account.unsent)
+            if units or account.is_changed:
+                # whole numbers take fewer bytes; the rest goes with the next.
+                deltas[name] = CustomerDelta(units, math.floor(account.known))
+                account.in_flight += units
+                account.unsent -= units
                 account.is_changed = False
         return deltas
 
--- a/packages/snipedeal/src/snipedeal/link.py
+++ b/packages/snipedeal/src/snipedeal/link.py
@@ -63,7 +63,7 @@
     _next_sequence: int = 1
     _received: int = 0
     _newest_peer_session: int = 0
-    _is_ack_due: bool = False
+    _ack_since_ms: int | None = None
     _is_lost: bool = False
     _last_heard_ms: int = 0
     _last_sent_ms: int = 0
@@ -81,7 +81,7 @@
     @property
     def is_quiet(self) -> bool:
         """Whether nothing waits to be sent or acknowledged."""
-        return not (self._outbox or self._pending or self._is_ack_due)
+        return not (self._outbox or self._pending or self._ack_since_ms is not None)
 
     @property
     def is_delivered(self) -> bool:
@@ -112,7 +112,7 @@
 
         :param now_ms: monotonic time.
         """
-        self._is_ack_due = False
+        self._ack_since_ms = None
         self._last_sent_ms = now_ms
         if not self._outbox:
             return 0, []
@@ -157,12 +157,13 @@
         if not is_meant:
             # the frame was meant for an earlier session of this side; the
             # answer tells the peer which one is current.
-            self._is_ack_due = True
+            self._ack_since_ms = now_ms - defaults.ACK_DELAY_MS
             return result
         if frame.peer_session == self.session:
             self._drop_acknowledged(frame.ack)
         if frame.sequence:
-            self._is_ack_due = True
+            if self._ack_since_ms is None:
+                self._ack_since_ms = now_ms
             if frame.sequence == self._received + 1:
                 self._received = frame.sequence
                 result.body = frame.body
@@ -179,7 +180,8 @@
         if waited_ms >= defaults.REDIAL_AFTER_MS and self._may_redial(now_ms):
             self._redialed_ms = now_ms
             return LinkAction.REDIAL
-        if self._is_ack_due or self._outbox or self._is_repeat_due(now_ms):
+        is_due = self._is_ack_due(now_ms) or self._is_repeat_due(now_ms)
+        if is_due or self._outbox:
             return LinkAction.SEND
         return None
 
@@ -210,7 +212,7 @@
         self._outbox.clear()
         self._pending.clear()
         self._next_sequence = 1
-        self._is_ack_due = True
+        self._ack_since_ms = now_ms - defaults.ACK_DELAY_MS
         self._last_heard_ms = now_ms
 
     def _follow_session(self, frame: Frame, is_meant: bool, now_ms: int) -> bool:
@@ -246,6 +248,11 @@
     def _may_redial(self, now_ms: int) -> bool:
         return now_ms - self._redialed_ms >= defaults.REDIAL_AFTER_MS
 
+    def _is_ack_due(self, now_ms: int) -> bool:
+        """Whether an acknowledgement has waited long enough for company."""
+        since_ms = self._ack_since_ms
+        return since_ms is not None and now_ms - since_ms >= defaults.ACK_DELAY_MS
+
     def _is_repeat_due(self, now_ms: int) -> bool:
         if not self._pending:
             return False
--- a/packages/snipedeal/src/snipedeal/messages.py
+++ b/packages/snipedeal/src/snipedeal/messages.py
@@ -231,16 +231,17 @@
     state: str
 
 
-@attrs.frozen
-class CustomerDelta:
+class CustomerDelta(t.NamedTuple):
     """Service given to a customer since the last exchange.
 
+    It is an array on the wire, since many go in one message.
+
     :param units: service units divided by the customer's share.
     :param known: the customer's virtual time as the sender last knew it.
     """
 
-    units: float
-    known: float
+    units: int
+    known: int
 
 
 @register_message("delta")
@@ -266,7 +267,7 @@
     """
 
     service: str
-    items: dict[str, float]
+    items: dict[str, int]
     floor: float
 
 
