--- a/bench/comparison.py
+++ b/bench/comparison.py
@@ -8,6 +8,7 @@
 import typing as t
 
 import attrs
+from snipedeal_standins.fairness_scenarios import gap_bound
 from snipedeal_standins.fleet import Fleet
 from snipedeal_standins.fleet import free_port
 from snipedeal_standins.history import read_runs
@@ -17,7 +18,6 @@
 from snipedeal_standins.measures import service_samples
 from snipedeal_standins.scenarios import MODEL
 from snipedeal_standins.scenarios import SLOTS
-from snipedeal_standins.scenarios import gap_bound
 from snipedeal_standins.scenarios import small_plan
 
 SHARES = {"flood": 1.0, "steady": 1.0, "uneven": 1.0, "double": 2.0}
--- a/bench/run.py
+++ b/bench/run.py
@@ -52,6 +52,7 @@
         results = asyncio.run(_measure(directory, quick, only))
     finally:
         shutil.rmtree(directory, ignore_errors=True)
+    results["seconds"] = {**before.get("seconds", {}), **results["seconds"]}
     results = {**before, **results}
     RESULTS.mkdir(parents=True, exist_ok=True)
     path.write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -13,6 +13,7 @@
 from snipedeal.claims import Ledger
 from snipedeal.claims import encode_entries
 from snipedeal.clock import Clock
+from snipedeal.codec import encode_message
 from snipedeal.configuration import Configuration
 from snipedeal.exchange import Exchange
 from snipedeal.exchange import exchange_interval_ms
@@ -20,7 +21,6 @@
 from snipedeal.gate import Gate
 from snipedeal.messages import Heartbeat
 from snipedeal.messages import Offer
-from snipedeal.messages import encode_message
 from snipedeal.transport import Handlers
 from snipedeal.transport import Transport
 from snipedeal_standins.fleet import Fleet
--- a/packages/snipedeal-agent/src/snipedeal_agent/cli.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/cli.py
@@ -1,7 +1,6 @@
 """Command line of ``snipedeal-agent``."""
 
 import asyncio
-import signal
 import sys
 
 import defopt
@@ -13,6 +12,7 @@
 from snipedeal.serving import add_observation
 from snipedeal.settings import AgentSettings
 from snipedeal.settings import load_settings
+from snipedeal.shutdown import count_stops
 
 from snipedeal_agent import attempts
 from snipedeal_agent import health
@@ -62,7 +62,7 @@
     app = falcon.asgi.App()
     add_observation(app, agent.node)
     server = HttpServer(app, settings.node.http_host, settings.node.http_port)
-    stops = _count_stops()
+    stops = count_stops()
     try:
         await server.start()
         await agent.start()
@@ -93,15 +93,6 @@
     return True
 
 
-def _count_stops() -> asyncio.Semaphore:
-    """Return a semaphore that every SIGTERM or SIGINT releases once."""
-    stops = asyncio.Semaphore(0)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stops.release)
-    return stops
-
-
 def main() -> None:
     """Run the command line."""
     sys.exit(defopt.run(run))
--- a/packages/snipedeal-agent/src/snipedeal_agent/dialects.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/dialects.py
@@ -90,6 +90,16 @@
 DIALECTS: dict[str, Dialect] = {}
 
 
+def request_headers(dispatch: Dispatch) -> dict[str, str]:
+    """Return the caller's headers with those that name the attempt."""
+    return {
+        **dispatch.headers,
+        "x-request-id": dispatch.request,
+        "x-attempt-id": dispatch.attempt,
+        "x-customer": dispatch.customer,
+    }
+
+
 def passed_headers(headers: t.Mapping[str, str]) -> dict[str, str]:
     """Return the headers that are passed on, names in lower case."""
     return {
--- a/packages/snipedeal-agent/src/snipedeal_agent/openai.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/openai.py
@@ -19,6 +19,7 @@
 from snipedeal_agent.dialects import TargetEvent
 from snipedeal_agent.dialects import Usage
 from snipedeal_agent.dialects import passed_headers
+from snipedeal_agent.dialects import request_headers
 
 _DATA = b"data: "
 _END = b"\n\n"
@@ -47,12 +48,7 @@
     :raises EngineError: the connection could not be made, so nothing ran.
     :raises EngineLostError: the connection broke before the end.
     """
-    headers = {
-        **dispatch.headers,
-        "x-request-id": dispatch.request,
-        "x-attempt-id": dispatch.attempt,
-        "x-customer": dispatch.customer,
-    }
+    headers = request_headers(dispatch)
     body = _as_stream(dispatch.body)
     request = target.session.post(
         target.url + dispatch.path, data=body, headers=headers, timeout=_timeout()
--- a/packages/snipedeal-agent/src/snipedeal_agent/orders.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/orders.py
@@ -12,6 +12,7 @@
 from snipedeal.messages import OrderDone
 from snipedeal.orders import FenceGuard
 from snipedeal.orders import OrderBook
+from snipedeal.platform import read_to_end
 from snipedeal.plugins import register_plugin
 
 if t.TYPE_CHECKING:
@@ -95,15 +96,12 @@
                 return
 
     async def _read_book(self) -> None:
-        while True:
-            batch = await self._node.log.read(
-                defaults.ORDER_STREAM, self._book.offset + 1
-            )
-            self._book.note_start(batch.start)
-            for record in batch.records:
-                self._book.apply(record.offset, record.data)
-            if not batch.records:
-                return
+        await read_to_end(
+            self._node.log,
+            defaults.ORDER_STREAM,
+            lambda: self._book.offset + 1,
+            self._book.take_batch,
+        )
 
     async def _call_target(self, order: Order) -> str:
         body = {
--- a/packages/snipedeal-agent/src/snipedeal_agent/plain.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/plain.py
@@ -16,6 +16,7 @@
 from snipedeal_agent.dialects import Target
 from snipedeal_agent.dialects import TargetEvent
 from snipedeal_agent.dialects import passed_headers
+from snipedeal_agent.dialects import request_headers
 
 
 async def run(target: Target, dispatch: Dispatch) -> t.AsyncIterator[TargetEvent]:
@@ -24,12 +25,7 @@
     :raises EngineError: the connection could not be made, so nothing ran.
     :raises EngineLostError: the connection broke before the end.
     """
-    headers = {
-        **dispatch.headers,
-        "x-request-id": dispatch.request,
-        "x-attempt-id": dispatch.attempt,
-        "x-customer": dispatch.customer,
-    }
+    headers = request_headers(dispatch)
     timeout = aiohttp.ClientTimeout(
         total=dispatch.remaining_ms / 1000,
         sock_connect=defaults.ENGINE_CONNECT_TIMEOUT_MS / 1000,
--- a/packages/snipedeal-router/src/snipedeal_router/orders.py
+++ b/packages/snipedeal-router/src/snipedeal_router/orders.py
@@ -19,6 +19,7 @@
 from snipedeal.orders import OrderBook
 from snipedeal.orders import fulfilled_text
 from snipedeal.orders import lease_text
+from snipedeal.platform import read_to_end
 from snipedeal.plugins import register_plugin
 from snipedeal.schemas import Pool
 from snipedeal.utils import rank_by_rendezvous
@@ -43,6 +44,14 @@
     sent_ms: dict[str, int] = attrs.Factory(dict)
 
 
+@attrs.frozen
+class _OpenTarget:
+    """A target that is not yet as its pool wants it."""
+
+    name: str
+    pool: Pool
+
+
 @register_plugin(ROUTER, "orders")
 class OrderGiver:
     """Give orders for the services whose pools want something.
@@ -125,17 +134,17 @@
         age_ms = self._node.clock.now_ms() - started_ms
         if age_ms > defaults.ORDER_READ_MAX_AGE_MS:
             return
-        for target, pool in open_targets[: defaults.ORDERS_AT_ONCE]:
-            self._send(target, pool, wish, started_ms)
+        for item in open_targets[: defaults.ORDERS_AT_ONCE]:
+            self._send(item.name, item.pool, wish, started_ms)
 
     def _open_targets(
         self, service: str, pools: list[Pool], wish: _Wish
-    ) -> list[tuple[str, Pool]]:
+    ) -> list[_OpenTarget]:
         found = []
         for vm in self._node.membership.targets(service):
             pool = next((pool for pool in pools if pool.has_target(vm.name)), None)
             if pool is not None and vm.name not in wish.done:
-                found.append((vm.name, pool))
+                found.append(_OpenTarget(vm.name, pool))
         return found
 
     def _send(self, target: str, pool: Pool, wish: _Wish, now_ms: int) -> None:
@@ -171,14 +180,12 @@
         wish.is_fulfilled = True
 
     async def _read_book(self) -> None:
-        while True:
-            offset = self._book.offset + 1
-            batch = await self._node.log.read(defaults.ORDER_STREAM, offset)
-            self._book.note_start(batch.start)
-            for record in batch.records:
-                self._book.apply(record.offset, record.data)
-            if not batch.records:
-                return
+        await read_to_end(
+            self._node.log,
+            defaults.ORDER_STREAM,
+            lambda: self._book.offset + 1,
+            self._book.take_batch,
+        )
 
     def _rank(self, service: str) -> int:
         names = {vm.name for vm in self._node.membership.routers()}
--- a/packages/snipedeal-router/src/snipedeal_router/serve.py
+++ b/packages/snipedeal-router/src/snipedeal_router/serve.py
@@ -1,11 +1,11 @@
 """Run a router until it is told to end."""
 
 import asyncio
-import signal
 
 from absl import logging
 from snipedeal.serving import HttpServer
 from snipedeal.settings import RouterSettings
+from snipedeal.shutdown import count_stops
 
 from snipedeal_router import claimant
 from snipedeal_router import dispatcher
@@ -66,12 +66,3 @@
             return False
         await asyncio.sleep(_DRAIN_POLL_S)
     return True
-
-
-def count_stops() -> asyncio.Semaphore:
-    """Return a semaphore that every SIGTERM or SIGINT releases once."""
-    stops = asyncio.Semaphore(0)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stops.release)
-    return stops
--- a/packages/snipedeal-standins/src/snipedeal_standins/proof.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/proof.py
@@ -11,6 +11,8 @@
 
 import defopt
 
+from snipedeal_standins import fairness_scenarios
+from snipedeal_standins import load_scenarios
 from snipedeal_standins import platform_scenarios
 from snipedeal_standins import scenarios
 from snipedeal_standins.scenarios import SCENARIOS
@@ -18,7 +20,12 @@
 from snipedeal_standins.scenarios import run_two_faults
 
 #: Modules whose import registers scenarios.
-REGISTERED = (scenarios, platform_scenarios)
+REGISTERED = (
+    scenarios,
+    fairness_scenarios,
+    load_scenarios,
+    platform_scenarios,
+)
 _KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 
 
--- a/packages/snipedeal/src/snipedeal/configuration.py
+++ b/packages/snipedeal/src/snipedeal/configuration.py
@@ -13,6 +13,8 @@
 import typing as t
 
 import attrs
+import msgspec
+
 from snipedeal.checking import CheckError
 from snipedeal.checking import structure
 from snipedeal.checking import unstructure
@@ -153,7 +155,7 @@
     _is_complete: bool = False
     _objects: dict[str, dict[str, _Object]] = attrs.Factory(dict)
     _waiting: list[_Waiting] = attrs.Factory(list)
-    _parts: dict[str, dict[int, SnapshotPart]] = attrs.Factory(dict)
+    _parts: dict[str, dict[int, str]] = attrs.Factory(dict)
     _customer_by_key: dict[bytes, str] = attrs.Factory(dict)
     _parsed: collections.OrderedDict[str, Customer] = attrs.Factory(
         collections.OrderedDict
@@ -232,7 +234,7 @@
             return Applied(offset, IGNORED, "the offset is already in force")
         envelope = _parse_envelope(data)
         if isinstance(envelope, SnapshotPart):
-            return self._apply_snapshot_part(offset, envelope)
+            return self._apply_snapshot_part(offset, envelope, data)
         if not self._is_complete:
             self._waiting.append(_Waiting(offset, data))
             return Applied(offset, IGNORED, "waiting for a snapshot")
@@ -272,38 +274,46 @@
         :param texts: the texts of all its parts.
         :return: whether it was taken.
         """
-        parts = [_parse_envelope(text) for text in texts]
-        if not parts or not all(isinstance(part, SnapshotPart) for part in parts):
+        texts = list(texts)
+        heads = [_read_head(text) for text in texts]
+        if not heads or None in heads:
             return False
-        if len(parts) != parts[0].parts or parts[0].covers <= self._offset:
+        head = heads[0]
+        if len(texts) != head.parts or head.covers <= self._offset:
             return False
-        self._load(parts)
+        self._load(head.covers, texts)
         self._replay()
         return True
 
-    def _apply_snapshot_part(self, offset: int, part: SnapshotPart) -> Applied:
+    def _apply_snapshot_part(
+        self, offset: int, part: SnapshotPart, data: str
+    ) -> Applied:
         if self._is_complete:
             self._offset = offset
             return Applied(offset, IGNORED, "snapshot", id=part.id, kind=part.kind)
         known = self._parts.setdefault(part.id, {})
-        known[part.part] = part
+        known[part.part] = data
         self._waiting.append(_Waiting(offset, ""))
         if len(known) < part.parts or part.covers < self._offset:
             return Applied(offset, IGNORED, "waiting for the rest of a snapshot")
-        self._load(list(known.values()))
+        self._load(part.covers, list(known.values()))
         self._replay()
         return Applied(offset, ACCEPTED, "snapshot", id=part.id, kind=part.kind)
 
-    def _load(self, parts: list[SnapshotPart]) -> None:
+    def _load(self, covers: int, texts: list[str]) -> None:
+        """Take the parts of a snapshot, parsing one at a time to save memory."""
         self._objects.clear()
         self.services.clear()
         self.pools.clear()
         self._customer_by_key.clear()
         self._parsed.clear()
-        self._offset = parts[0].covers
+        self._offset = covers
         self._is_complete = True
         self._parts.clear()
-        for part in sorted(parts, key=lambda item: item.part):
+        for text in texts:
+            part = _parse_envelope(text)
+            if not isinstance(part, SnapshotPart):
+                continue
             for stored in part.objects:
                 if self._is_kept(stored.kind):
                     self._restore(stored)
@@ -434,6 +444,23 @@
         raise RecordError("nothing to delete without a base", field="base_revision")
 
 
+@attrs.frozen
+class _PartHead:
+    """What has to be known of a snapshot's part before it is parsed."""
+
+    kind: str
+    covers: int
+    parts: int
+
+
+def _read_head(text: str) -> _PartHead | None:
+    try:
+        head = msgspec.json.decode(text, type=_PartHead)
+    except msgspec.MsgspecError:
+        return None
+    return head if head.kind == SNAPSHOT_KIND else None
+
+
 def _to_text(spec: t.Any) -> str:
     return json.dumps(spec, separators=(",", ":"))
 
--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -67,7 +67,7 @@
 
 # -- running at most once ----------------------------------------------------
 CLAIM_PARTITIONS = 8
-CLAIM_BATCH_WINDOW_MS = 20
+CLAIM_BATCH_WINDOW_MS = 50
 CLAIM_TIMEOUT_MS = 5_000
 CLAIM_CLOSE_RETRY_MS = 2_000
 CLAIM_TICK_MS = 500
--- a/packages/snipedeal/src/snipedeal/link.py
+++ b/packages/snipedeal/src/snipedeal/link.py
@@ -12,8 +12,9 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
-from snipedeal.messages import Frame
+from snipedeal.codec import Frame
 
 
 class LinkAction(enum.Enum):
--- a/packages/snipedeal/src/snipedeal/messages.py
+++ b/packages/snipedeal/src/snipedeal/messages.py
@@ -1,18 +1,8 @@
-"""Typed messages between the project's processes, and their codec.
-
-A frame is a MessagePack array; each message in it is a pair of a code and an
-array of the class's fields in order. Fields are only ever appended, with a
-default: a reader leaves out values that it has no field for, fills missing
-ones from defaults, skips messages whose code it does not know, and refuses
-frames of a wire version outside the range that it supports.
-"""
+"""Typed messages between the project's processes, registered by wire code."""
 
 import typing as t
 
 import attrs
-import msgspec
-from snipedeal import defaults
-from snipedeal.exceptions import MessageError
 
 #: Message classes by wire code.
 MESSAGE_TYPES: dict[str, type] = {}
@@ -20,8 +10,8 @@
 #: Codes of messages that carry requests and answers rather than control.
 DATA_CODES: set[str] = set()
 
-_field_names: dict[str, list[str]] = {}
-_encoder = msgspec.msgpack.Encoder()
+#: Names of the fields of each message in wire order.
+FIELD_NAMES: dict[str, list[str]] = {}
 _T = t.TypeVar("_T", bound=type)
 
 
@@ -34,7 +24,7 @@
 
     def decorate(cls: _T) -> _T:
         MESSAGE_TYPES[code] = cls
-        _field_names[code] = [field.name for field in attrs.fields(cls)]
+        FIELD_NAMES[code] = [field.name for field in attrs.fields(cls)]
         cls.code = code
         if is_data:
             DATA_CODES.add(code)
@@ -400,118 +390,3 @@
     order: str
     outcome: str
     fence_seen: int
-
-
-@attrs.frozen
-class Frame:
-    """One transmission on a link.
-
-    :param sender: name of the sending process.
-    :param recipient: name of the process that is meant.
-    :param address: address at which the sender listens, empty once the
-        recipient has been heard and so knows it.
-    :param session: the sender's side of the link session.
-    :param peer_session: the recipient's session as the sender knows it, or 0.
-    :param sequence: number of the frame, or 0 where it only acknowledges.
-    :param ack: highest frame number received without a gap.
-    :param wall_ms: hybrid logical clock, wall part.
-    :param counter: hybrid logical clock, counter part.
-    :param body: messages, each as a pair of code and payload.
-    """
-
-    sender: str
-    recipient: str
-    address: str
-    session: int
-    peer_session: int
-    sequence: int
-    ack: int
-    wall_ms: int
-    counter: int
-    body: list[tuple[str, t.Any]]
-
-
-_frame_decoder = msgspec.msgpack.Decoder(
-    tuple[
-        int, str, str, str, int, int, int, int, int, int, list[tuple[str, msgspec.Raw]]
-    ]
-)
-_values_decoder = msgspec.msgpack.Decoder(list[t.Any])
-_version_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
-
-
-def encode_message(message: t.Any) -> tuple[str, msgspec.Raw]:
-    """Return code and payload of a message.
-
-    :param message: an instance of a registered class.
-    """
-    names = _field_names[message.code]
-    values = [getattr(message, name) for name in names]
-    return message.code, msgspec.Raw(_encoder.encode(values))
-
-
-def encode_frame(frame: Frame) -> bytes:
-    """Return the bytes of a frame."""
-    return _encoder.encode(
-        (
-            defaults.WIRE_VERSION,
-            frame.sender,
-            frame.recipient,
-            frame.address,
-            frame.session,
-            frame.peer_session,
-            frame.sequence,
-            frame.ack,
-            frame.wall_ms,
-            frame.counter,
-            frame.body,
-        )
-    )
-
-
-def decode_frame(data: bytes) -> Frame:
-    """Return the frame that some bytes hold.
-
-    :param data: bytes of one transmission.
-    :raises MessageError: the bytes are no frame, or one of a wire version
-        that this process does not support.
-    """
-    version = _read_version(data)
-    oldest = defaults.WIRE_VERSION_OLDEST
-    if not oldest <= version <= defaults.WIRE_VERSION:
-        raise MessageError(
-            f"wire version {version} is not among {oldest}..{defaults.WIRE_VERSION}",
-            step="decode",
-        )
-    try:
-        fields = _frame_decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise MessageError(f"not a frame: {error}", step="decode") from error
-    return Frame(*fields[1:])
-
-
-def _read_version(data: bytes) -> int:
-    """Return the wire version, whatever the rest of the frame looks like."""
-    try:
-        items = _version_decoder.decode(data)
-        return msgspec.msgpack.decode(items[0], type=int)
-    except (msgspec.MsgspecError, IndexError) as error:
-        raise MessageError(f"not a frame: {error}", step="decode") from error
-
-
-def decode_message(code: str, payload: msgspec.Raw) -> t.Any | None:
-    """Return a message, or ``None`` where its code is of a newer version.
-
-    :param code: wire code.
-    :param payload: MessagePack array of its fields.
-    :raises MessageError: a field is missing or of another type.
-    """
-    cls = MESSAGE_TYPES.get(code)
-    if cls is None:
-        return None
-    try:
-        values = _values_decoder.decode(payload)
-        fields = dict(zip(_field_names[code], values, strict=False))
-        return msgspec.convert(fields, cls)
-    except msgspec.MsgspecError as error:
-        raise MessageError(f"message {code}: {error}", step="decode") from error
--- a/packages/snipedeal/src/snipedeal/orders.py
+++ b/packages/snipedeal/src/snipedeal/orders.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from snipedeal.platform import LogBatch
+
 LEASE = "lease"
 FULFILLED = "fulfilled"
 NO_FENCE = -1
@@ -60,6 +62,12 @@
         except (ValueError, KeyError, TypeError):
             return
 
+    def take_batch(self, batch: LogBatch) -> None:
+        """Take records that were read from the stream."""
+        self.note_start(batch.start)
+        for record in batch.records:
+            self.apply(record.offset, record.data)
+
     def fence(self, service: str) -> int:
         """Return the newest fencing number of a service."""
         lease = self._leases.get(service)
--- a/packages/snipedeal/src/snipedeal/platform.py
+++ b/packages/snipedeal/src/snipedeal/platform.py
@@ -12,6 +12,7 @@
 import aiohttp
 import attrs
 import msgspec
+
 from snipedeal import defaults
 from snipedeal.exceptions import LogUnavailableError
 from snipedeal.exceptions import PlatformError
@@ -153,6 +154,25 @@
         return self._last
 
 
+async def read_to_end(
+    log: LogClient,
+    stream: str,
+    next_offset: t.Callable[[], int],
+    on_batch: t.Callable[[LogBatch], None],
+) -> None:
+    """Read a stream until it has nothing more, for a decision that needs all.
+
+    :param next_offset: returns the offset to read from.
+    :param on_batch: called with every batch.
+    :raises LogUnavailableError: the log service can't be read.
+    """
+    while True:
+        batch = await log.read(stream, next_offset())
+        on_batch(batch)
+        if not batch.records:
+            return
+
+
 async def follow_stream(
     log: LogClient,
     stream: str,
--- a/packages/snipedeal/src/snipedeal/transport.py
+++ b/packages/snipedeal/src/snipedeal/transport.py
@@ -12,19 +12,20 @@
 import attrs
 import pynng
 from absl import logging
+
 from snipedeal import defaults
 from snipedeal.clock import Clock
 from snipedeal.clock import HybridClock
+from snipedeal.codec import Frame
+from snipedeal.codec import decode_frame
+from snipedeal.codec import decode_message
+from snipedeal.codec import encode_frame
+from snipedeal.codec import encode_message
 from snipedeal.exceptions import MessageError
 from snipedeal.link import Link
 from snipedeal.link import LinkAction
 from snipedeal.messages import DATA_CODES
-from snipedeal.messages import Frame
 from snipedeal.messages import Heartbeat
-from snipedeal.messages import decode_frame
-from snipedeal.messages import decode_message
-from snipedeal.messages import encode_frame
-from snipedeal.messages import encode_message
 
 _TICK_MS = 100
 _FRAME_CODE = "frame"
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,9 +1,9 @@
 import hypothesis
 import hypothesis.strategies as st
 from snipedeal import defaults
+from snipedeal.codec import Frame
 from snipedeal.link import Link
 from snipedeal.link import LinkAction
-from snipedeal.messages import Frame
 
 
 class Side:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,16 +1,16 @@
 import msgspec
 import pytest
 from snipedeal import defaults
+from snipedeal.codec import Frame
+from snipedeal.codec import decode_frame
+from snipedeal.codec import decode_message
+from snipedeal.codec import encode_frame
+from snipedeal.codec import encode_message
 from snipedeal.exceptions import MessageError
 from snipedeal.messages import MESSAGE_TYPES
 from snipedeal.messages import CustomerDelta
-from snipedeal.messages import Frame
 from snipedeal.messages import Offer
 from snipedeal.messages import ServiceDelta
-from snipedeal.messages import decode_frame
-from snipedeal.messages import decode_message
-from snipedeal.messages import encode_frame
-from snipedeal.messages import encode_message
 
 
 def raw(values):
