Placement by prefix is the default; an order of a woken holder is tested

Change: default placement prefix; a test that sends a superseded order to a real agent before and after the newer one. Conclusion: both stay.

--- a/packages/snipedeal/src/snipedeal/settings.py
+++ b/packages/snipedeal/src/snipedeal/settings.py
@@ -94,7 +94,7 @@
         default=defaults.CLAIM_PARTITIONS, validator=in_range(1, 1_024)
     )
     max_queued: int = attrs.field(default=20_000, validator=in_range(1, 1_000_000))
-    placement: str = "spread"
+    placement: str = "prefix"
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_fencing.py
@@ -0,0 +1,70 @@
+"""An order of a holder that was superseded while it was frozen, at a real agent."""
+
+import asyncio
+
+from snipedeal import defaults
+from snipedeal.clock import Clock
+from snipedeal.messages import Order
+from snipedeal.messages import OrderDone
+from snipedeal.orders import lease_text
+from snipedeal.transport import Handlers
+from snipedeal.transport import Transport
+from snipedeal_standins.fleet import free_port
+from snipedeal_standins.scenarios import MODEL
+
+AGENT = "engine-0"
+
+
+class WokenHolder:
+    """A holder of a lease that sends its orders late."""
+
+    def __init__(self, fleet):
+        address = f"tcp://127.0.0.1:{free_port()}"
+        handlers = Handlers(self._take, lambda name: None, lambda name: None)
+        self.transport = Transport("holder", address, address, Clock(), handlers)
+        self._answers = asyncio.Queue()
+        self._fleet = fleet
+
+    def _take(self, name, message):
+        if isinstance(message, OrderDone):
+            self._answers.put_nowait(message)
+
+    async def take_lease(self):
+        url = f"{self._fleet.log_url}/streams/{defaults.ORDER_STREAM}/records"
+        text = lease_text(MODEL, "holder")
+        async with self._fleet.session.post(url, data=text.encode()) as answer:
+            return (await answer.json())["offset"]
+
+    async def order(self, fence, version):
+        message = Order(f"{MODEL}/w/{AGENT}", fence, "load_model", "m", version)
+        self.transport.connect(AGENT, self._fleet.peer_address(AGENT))
+        self.transport.send(AGENT, message)
+        return await asyncio.wait_for(self._answers.get(), 30)
+
+
+async def send_superseded_order(fleet):
+    holder = WokenHolder(fleet)
+    holder.transport.start()
+    try:
+        old = await holder.take_lease()
+        first = await holder.order(old, "old")
+        new = await holder.take_lease()
+        # the old holder wakes up after the new lease, before any new order.
+        late = await holder.order(old, "late")
+        loaded_late = (await fleet.engine_load(AGENT))["loaded"]
+        second = await holder.order(new, "new")
+        again = await holder.order(old, "again")
+        loaded = (await fleet.engine_load(AGENT))["loaded"]
+    finally:
+        await holder.transport.close()
+    outcomes = [done.outcome for done in (first, late, second, again)]
+    return outcomes, loaded_late, loaded
+
+
+def test_superseded_order_is_refused_before_and_after_a_newer_one(small_fleet):
+    outcomes, loaded_late, loaded = small_fleet.run(
+        send_superseded_order(small_fleet.fleet)
+    )
+    assert outcomes == ["done", "stale", "done", "stale"]
+    assert loaded_late == {"load_model": "m@old"}
+    assert loaded == {"load_model": "m@new"}
