Imports sorted alike in every checkout

Cause: in a fresh clone the linter sorted the project's own packages among others' (15 findings), since it found them by folders that differ. Before: make lint fails in a clone. After: it passes there.

--- a/bench/comparison.py
+++ b/bench/comparison.py
@@ -8,6 +8,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal_standins.fairness_scenarios import gap_bound
 from snipedeal_standins.fleet import Fleet
 from snipedeal_standins.fleet import free_port
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -7,6 +7,10 @@
 
 import aiohttp
 from hdrh.histogram import HdrHistogram
+
+from bench.processes import cores_between
+from bench.processes import read_usage
+from bench.processes import run_open_loop
 from snipedeal_standins.fleet import Fleet
 from snipedeal_standins.history import REFUSED
 from snipedeal_standins.history import WHOLE
@@ -14,10 +18,6 @@
 from snipedeal_standins.scenarios import MODEL
 from snipedeal_standins.scenarios import small_plan
 
-from bench.processes import cores_between
-from bench.processes import read_usage
-from bench.processes import run_open_loop
-
 #: Requests and tokens a second of one router at the target size.
 TARGET_REQUESTS_S = 18.0
 TARGET_TOKENS_S = 5_500.0
--- a/bench/naive.py
+++ b/bench/naive.py
@@ -12,6 +12,7 @@
 import aiohttp
 import defopt
 import falcon.asgi
+
 from snipedeal_standins.serving import serve
 
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -6,6 +6,7 @@
 import time
 import typing as t
 
+from bench.processes import run_open_loop
 from snipedeal_standins.fleet import Fleet
 from snipedeal_standins.history import WHOLE
 from snipedeal_standins.history import read_runs
@@ -17,8 +18,6 @@
 from snipedeal_standins.scenarios import MODEL
 from snipedeal_standins.scenarios import small_plan
 
-from bench.processes import run_open_loop
-
 _ENGINES = 4
 _PREFIXES = 24
 _PREFIX_LENGTH = 4_000
--- a/bench/profiling.py
+++ b/bench/profiling.py
@@ -6,15 +6,14 @@
 import signal
 import sys
 
+from bench import latency
+from bench.processes import run_open_loop
 from snipedeal_standins.fleet import Child
 from snipedeal_standins.fleet import Fleet
 from snipedeal_standins.load import Caller
 from snipedeal_standins.scenarios import MODEL
 from snipedeal_standins.scenarios import small_plan
 
-from bench import latency
-from bench.processes import run_open_loop
-
 _ROWS = 25
 _SECONDS = 10.0
 _TOKENS = int(latency.TARGET_TOKENS_S / latency.TARGET_REQUESTS_S)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,6 +9,11 @@
 import typing as t
 
 import numpy as np
+
+from bench.processes import Usage
+from bench.processes import cores_between
+from bench.processes import read_usage
+from bench.processes import run_open_loop
 from snipedeal.claims import Claim
 from snipedeal.claims import Ledger
 from snipedeal.claims import encode_entries
@@ -32,11 +37,6 @@
 from snipedeal_standins.scenarios import MODEL
 from snipedeal_standins.scenarios import small_plan
 
-from bench.processes import Usage
-from bench.processes import cores_between
-from bench.processes import read_usage
-from bench.processes import run_open_loop
-
 CUSTOMERS = (16, 1_000, 10_000, 30_000)
 TARGETS = (2, 10, 30, 60)
 ROUTERS = (1, 8, 30, 60)
--- a/packages/snipedeal-agent/src/snipedeal_agent/agent.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/agent.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from absl import logging
+
 from snipedeal import defaults
 from snipedeal.exchange import Exchange
 from snipedeal.fairness import VirtualTimes
@@ -12,7 +13,6 @@
 from snipedeal.node import Node
 from snipedeal.plugins import PLUGINS
 from snipedeal.settings import AgentSettings
-
 from snipedeal_agent.dialects import DIALECTS
 from snipedeal_agent.dialects import Target
 
--- a/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
@@ -6,6 +6,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.exceptions import EngineError
 from snipedeal.exceptions import EngineLostError
@@ -24,7 +25,6 @@
 from snipedeal.messages import Take
 from snipedeal.plugins import register_plugin
 from snipedeal.seeker import Seeker
-
 from snipedeal_agent.dialects import Answered
 from snipedeal_agent.dialects import Chunks
 from snipedeal_agent.dialects import TargetEvent
--- a/packages/snipedeal-agent/src/snipedeal_agent/cli.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/cli.py
@@ -6,6 +6,7 @@
 import defopt
 import falcon.asgi
 from absl import logging
+
 from snipedeal.exceptions import SettingsError
 from snipedeal.logs import set_up_logs
 from snipedeal.serving import HttpServer
@@ -13,7 +14,6 @@
 from snipedeal.settings import AgentSettings
 from snipedeal.settings import load_settings
 from snipedeal.shutdown import count_stops
-
 from snipedeal_agent import attempts
 from snipedeal_agent import health
 from snipedeal_agent import incidents
--- a/packages/snipedeal-agent/src/snipedeal_agent/dialects.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/dialects.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import attrs
+
 from snipedeal.messages import Dispatch
 
 #: Headers that concern one connection and are not passed on (RFC 9110, 7.6.1).
--- a/packages/snipedeal-agent/src/snipedeal_agent/health.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/health.py
@@ -5,6 +5,7 @@
 import typing as t
 
 import aiohttp
+
 from snipedeal import defaults
 from snipedeal.membership import TARGET
 from snipedeal.plugins import register_plugin
--- a/packages/snipedeal-agent/src/snipedeal_agent/incidents.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/incidents.py
@@ -5,6 +5,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.exceptions import LogUnavailableError
 from snipedeal.membership import TARGET
--- a/packages/snipedeal-agent/src/snipedeal_agent/openai.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/openai.py
@@ -5,12 +5,12 @@
 
 import aiohttp
 import msgspec
+
 from snipedeal import defaults
 from snipedeal.exceptions import EngineError
 from snipedeal.exceptions import EngineLostError
 from snipedeal.exceptions import StreamUnknownError
 from snipedeal.messages import Dispatch
-
 from snipedeal_agent.dialects import DIALECTS
 from snipedeal_agent.dialects import Answered
 from snipedeal_agent.dialects import Chunks
--- a/packages/snipedeal-agent/src/snipedeal_agent/orders.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/orders.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import aiohttp
+
 from snipedeal import defaults
 from snipedeal.exceptions import PlatformError
 from snipedeal.exceptions import StaleOrderError
--- a/packages/snipedeal-agent/src/snipedeal_agent/plain.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/plain.py
@@ -4,11 +4,11 @@
 import typing as t
 
 import aiohttp
+
 from snipedeal import defaults
 from snipedeal.exceptions import EngineError
 from snipedeal.exceptions import EngineLostError
 from snipedeal.messages import Dispatch
-
 from snipedeal_agent.dialects import DIALECTS
 from snipedeal_agent.dialects import Answered
 from snipedeal_agent.dialects import Chunks
--- a/packages/snipedeal-router/src/snipedeal_router/admission.py
+++ b/packages/snipedeal-router/src/snipedeal_router/admission.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.claims import FINISHED
 from snipedeal.claims import GRANTED
@@ -15,7 +16,6 @@
 from snipedeal.schemas import KEY_HASH_PREFIX
 from snipedeal.schemas import Customer
 from snipedeal.schemas import Service
-
 from snipedeal_router.claimhome import INCOMPLETE
 from snipedeal_router.dispatcher import OUT_OF_REACH
 from snipedeal_router.refusals import RefusedError
--- a/packages/snipedeal-router/src/snipedeal_router/app.py
+++ b/packages/snipedeal-router/src/snipedeal_router/app.py
@@ -6,10 +6,10 @@
 import attrs
 import falcon
 import falcon.asgi
+
 from snipedeal import defaults
 from snipedeal.serving import add_observation
 from snipedeal.utils import new_id
-
 from snipedeal_router.admission import Admission
 from snipedeal_router.admission import Call
 from snipedeal_router.admission import body_too_large
--- a/packages/snipedeal-router/src/snipedeal_router/claimant.py
+++ b/packages/snipedeal-router/src/snipedeal_router/claimant.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.claims import GRANTED
 from snipedeal.claims import partition_of
@@ -14,7 +15,6 @@
 from snipedeal.messages import ClaimClosed
 from snipedeal.plugins import register_plugin
 from snipedeal.utils import rank_by_rendezvous
-
 from snipedeal_router.claimhome import UNAVAILABLE
 from snipedeal_router.claimhome import Partition
 
--- a/packages/snipedeal-router/src/snipedeal_router/claimhome.py
+++ b/packages/snipedeal-router/src/snipedeal_router/claimhome.py
@@ -9,6 +9,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.claims import FINISHED
 from snipedeal.claims import GRANTED
--- a/packages/snipedeal-router/src/snipedeal_router/cli.py
+++ b/packages/snipedeal-router/src/snipedeal_router/cli.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import defopt
+
 from snipedeal import events
 from snipedeal.exceptions import PlatformError
 from snipedeal.exceptions import RecordError
@@ -19,7 +20,6 @@
 from snipedeal.platform import LogClient
 from snipedeal.settings import RouterSettings
 from snipedeal.settings import load_settings
-
 from snipedeal_router import fleet
 from snipedeal_router import publishing
 from snipedeal_router.serve import serve
--- a/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
+++ b/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
@@ -24,7 +24,6 @@
 from snipedeal.placement import PLACEMENTS
 from snipedeal.placement import Placing
 from snipedeal.plugins import register_plugin
-
 from snipedeal_router.gates import Gates
 from snipedeal_router.requests import Phase
 from snipedeal_router.requests import Refusal
--- a/packages/snipedeal-router/src/snipedeal_router/fleet.py
+++ b/packages/snipedeal-router/src/snipedeal_router/fleet.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import attrs
+
 from snipedeal.membership import Vm
 from snipedeal.platform import VmListClient
 
--- a/packages/snipedeal-router/src/snipedeal_router/gates.py
+++ b/packages/snipedeal-router/src/snipedeal_router/gates.py
@@ -1,6 +1,7 @@
 """What a router knows of the gates."""
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.membership import Membership
 from snipedeal.messages import Load
--- a/packages/snipedeal-router/src/snipedeal_router/incidents.py
+++ b/packages/snipedeal-router/src/snipedeal_router/incidents.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import msgspec
+
 from snipedeal import defaults
 from snipedeal.membership import ROUTER
 from snipedeal.messages import Incident
--- a/packages/snipedeal-router/src/snipedeal_router/orders.py
+++ b/packages/snipedeal-router/src/snipedeal_router/orders.py
@@ -9,6 +9,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.checking import unstructure
 from snipedeal.exceptions import LogUnavailableError
--- a/packages/snipedeal-router/src/snipedeal_router/publishing.py
+++ b/packages/snipedeal-router/src/snipedeal_router/publishing.py
@@ -5,6 +5,7 @@
 import pathlib
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.checking import unstructure
 from snipedeal.configuration import ACCEPTED
--- a/packages/snipedeal-router/src/snipedeal_router/refusals.py
+++ b/packages/snipedeal-router/src/snipedeal_router/refusals.py
@@ -6,8 +6,8 @@
 import attrs
 import falcon
 from absl import logging
-from snipedeal.exceptions import SnipedealError
 
+from snipedeal.exceptions import SnipedealError
 from snipedeal_router.requests import NOT_RUN
 from snipedeal_router.requests import Refusal
 
--- a/packages/snipedeal-router/src/snipedeal_router/requests.py
+++ b/packages/snipedeal-router/src/snipedeal_router/requests.py
@@ -4,6 +4,7 @@
 import enum
 
 import attrs
+
 from snipedeal.answer import Answer
 from snipedeal.schemas import Service
 
--- a/packages/snipedeal-router/src/snipedeal_router/serve.py
+++ b/packages/snipedeal-router/src/snipedeal_router/serve.py
@@ -3,10 +3,10 @@
 import asyncio
 
 from absl import logging
+
 from snipedeal.serving import HttpServer
 from snipedeal.settings import RouterSettings
 from snipedeal.shutdown import count_stops
-
 from snipedeal_router import claimant
 from snipedeal_router import dispatcher
 from snipedeal_router import incidents
--- a/packages/snipedeal-standins/src/snipedeal_standins/load.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/load.py
@@ -72,6 +72,9 @@
         record.key = sent.get("Idempotency-Key", "")
         try:
             await self._send_chat(record, f"{router}/v1/chat/completions", body, sent)
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            record.outcome = WRONG
+            record.detail = f"malformed answer: {error!r}"
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             record.outcome = CUT
             record.detail = f"{type(error).__name__} {error}"
--- a/packages/snipedeal/src/snipedeal/backlog.py
+++ b/packages/snipedeal/src/snipedeal/backlog.py
@@ -10,6 +10,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.utils import rank_by_rendezvous
 
--- a/packages/snipedeal/src/snipedeal/claims.py
+++ b/packages/snipedeal/src/snipedeal/claims.py
@@ -12,6 +12,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 
 GRANTED = "granted"
--- a/packages/snipedeal/src/snipedeal/estimator.py
+++ b/packages/snipedeal/src/snipedeal/estimator.py
@@ -3,6 +3,7 @@
 import collections
 
 import attrs
+
 from snipedeal import defaults
 
 
--- a/packages/snipedeal/src/snipedeal/events.py
+++ b/packages/snipedeal/src/snipedeal/events.py
@@ -10,6 +10,7 @@
 
 import attrs
 from absl import logging
+
 from snipedeal import defaults
 from snipedeal.clock import HybridClock
 
--- a/packages/snipedeal/src/snipedeal/exchange.py
+++ b/packages/snipedeal/src/snipedeal/exchange.py
@@ -9,6 +9,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.fairness import NO_FLOOR
 from snipedeal.fairness import VirtualTimes
--- a/packages/snipedeal/src/snipedeal/fairness.py
+++ b/packages/snipedeal/src/snipedeal/fairness.py
@@ -15,10 +15,11 @@
 import typing as t
 
 import attrs
+from sortedcontainers import SortedList
+
 from snipedeal import defaults
 from snipedeal.messages import CustomerDelta
 from snipedeal.utils import stable_hash
-from sortedcontainers import SortedList
 
 NO_FLOOR = -1.0
 _NOTHING = 1e-9
--- a/packages/snipedeal/src/snipedeal/gate.py
+++ b/packages/snipedeal/src/snipedeal/gate.py
@@ -8,6 +8,7 @@
 """
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.estimator import CostEstimator
 from snipedeal.fairness import VirtualTimes
--- a/packages/snipedeal/src/snipedeal/metrics.py
+++ b/packages/snipedeal/src/snipedeal/metrics.py
@@ -12,6 +12,7 @@
 from prometheus_client import Gauge
 from prometheus_client import Histogram
 from prometheus_client import generate_latest
+
 from snipedeal import defaults
 
 _WAIT_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120)
--- a/packages/snipedeal/src/snipedeal/node.py
+++ b/packages/snipedeal/src/snipedeal/node.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 from absl import logging
+
 from snipedeal import defaults
 from snipedeal.clock import Clock
 from snipedeal.configuration import ACCEPTED
--- a/packages/snipedeal/src/snipedeal/placement.py
+++ b/packages/snipedeal/src/snipedeal/placement.py
@@ -9,6 +9,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal.utils import rank_by_rendezvous
 
 _PREFIX_BYTES = 256
--- a/packages/snipedeal/src/snipedeal/quarantine.py
+++ b/packages/snipedeal/src/snipedeal/quarantine.py
@@ -9,6 +9,7 @@
 import collections
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.messages import Incident
 
--- a/packages/snipedeal/src/snipedeal/schemas.py
+++ b/packages/snipedeal/src/snipedeal/schemas.py
@@ -8,6 +8,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.checking import CheckError
 from snipedeal.checking import FieldError
--- a/packages/snipedeal/src/snipedeal/seeker.py
+++ b/packages/snipedeal/src/snipedeal/seeker.py
@@ -1,6 +1,7 @@
 """Decide when a gate without work asks routers for some."""
 
 import attrs
+
 from snipedeal import defaults
 
 
--- a/packages/snipedeal/src/snipedeal/settings.py
+++ b/packages/snipedeal/src/snipedeal/settings.py
@@ -5,6 +5,7 @@
 import typing as t
 
 import attrs
+
 from snipedeal import defaults
 from snipedeal.checking import CheckError
 from snipedeal.checking import FieldError
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 import pytest
+
 from snipedeal_standins.fleet import Fleet
 from snipedeal_standins.load import Caller
 from snipedeal_standins.scenarios import small_plan
--- a/tests/test_answer.py
+++ b/tests/test_answer.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+
 from snipedeal.answer import Answer
 from snipedeal.answer import Verdict
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -7,6 +7,7 @@
 import openai
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
+
 from snipedeal_standins.engine import answer_text
 
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+
 from snipedeal_standins import checker
 from snipedeal_standins.checker import ConfigObservation
 from snipedeal_standins.checker import ConfigPublication
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,5 +1,6 @@
 import hypothesis
 import hypothesis.strategies as st
+
 from snipedeal.claims import FINISHED
 from snipedeal.claims import GRANTED
 from snipedeal.claims import MISMATCH
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+
 from snipedeal.configuration import ACCEPTED
 from snipedeal.configuration import IGNORED
 from snipedeal.configuration import REJECTED
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,5 +1,6 @@
 import hypothesis
 import hypothesis.strategies as st
+
 from snipedeal import defaults
 from snipedeal.exchange import Exchange
 from snipedeal.exchange import exchange_interval_ms
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+
 from snipedeal_standins import platform_scenarios
 from snipedeal_standins.scenarios import SCENARIOS
 from snipedeal_standins.scenarios import run_two_faults
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -1,5 +1,6 @@
 import hypothesis
 import hypothesis.strategies as st
+
 from snipedeal import defaults
 from snipedeal.fairness import VirtualTimes
 from snipedeal.gate import Gate
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 import hypothesis
 import hypothesis.strategies as st
+
 from snipedeal.membership import LEAVING
 from snipedeal.membership import LIVE
 from snipedeal.membership import Membership
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,5 +1,6 @@
 import msgspec
 import pytest
+
 from snipedeal import defaults
 from snipedeal.codec import Frame
 from snipedeal.codec import decode_frame
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,5 +1,6 @@
 import hypothesis
 import hypothesis.strategies as st
+
 from snipedeal import defaults
 from snipedeal.messages import Incident
 from snipedeal.quarantine import Quarantine
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,6 +2,7 @@
 import pathlib
 
 import pytest
+
 from snipedeal.exceptions import SettingsError
 from snipedeal.settings import AgentSettings
 from snipedeal.settings import RouterSettings
