--- a/packages/snipedeal-router/src/snipedeal_router/publishing.py
+++ b/packages/snipedeal-router/src/snipedeal_router/publishing.py
@@ -9,17 +9,17 @@
 from snipedeal import defaults
 from snipedeal.checking import unstructure
 from snipedeal.configuration import ACCEPTED
-from snipedeal.configuration import SNAPSHOT_KIND
 from snipedeal.configuration import Applied
 from snipedeal.configuration import Configuration
-from snipedeal.configuration import Record
-from snipedeal.configuration import SnapshotPart
-from snipedeal.configuration import StoredObject
-from snipedeal.configuration import check_record
-from snipedeal.configuration import parse_record
 from snipedeal.exceptions import LogUnavailableError
 from snipedeal.exceptions import RecordError
 from snipedeal.platform import LogClient
+from snipedeal.records import SNAPSHOT_KIND
+from snipedeal.records import Record
+from snipedeal.records import SnapshotPart
+from snipedeal.records import StoredObject
+from snipedeal.records import check_record
+from snipedeal.records import parse_record
 from snipedeal.utils import new_id
 
 _SETTLE_TRIES = 20
--- a/packages/snipedeal-router/src/snipedeal_router/snapshots.py
+++ b/packages/snipedeal-router/src/snipedeal_router/snapshots.py
@@ -4,11 +4,11 @@
 import typing as t
 
 from snipedeal import defaults
-from snipedeal.configuration import SNAPSHOT_KIND
 from snipedeal.configuration import Applied
 from snipedeal.exceptions import LogUnavailableError
 from snipedeal.membership import ROUTER
 from snipedeal.plugins import register_plugin
+from snipedeal.records import SNAPSHOT_KIND
 from snipedeal.utils import new_id
 from snipedeal.utils import rank_by_rendezvous
 
--- a/packages/snipedeal/src/snipedeal/configuration.py
+++ b/packages/snipedeal/src/snipedeal/configuration.py
@@ -13,19 +13,21 @@
 import typing as t
 
 import attrs
-import msgspec
 
-from snipedeal.checking import CheckError
-from snipedeal.checking import structure
 from snipedeal.checking import unstructure
 from snipedeal.exceptions import RecordError
+from snipedeal.records import SNAPSHOT_KIND
+from snipedeal.records import Record
+from snipedeal.records import SnapshotPart
+from snipedeal.records import StoredObject
+from snipedeal.records import parse_envelope
+from snipedeal.records import read_head
 from snipedeal.schemas import KEY_HASH_PREFIX
 from snipedeal.schemas import Customer
 from snipedeal.schemas import Pool
 from snipedeal.schemas import Service
 from snipedeal.schemas import parse_spec
 
-SNAPSHOT_KIND = "snapshot"
 CUSTOMER = "customer"
 PARSED_CUSTOMERS_KEPT = 4_096
 SNAPSHOT_OBJECTS_PER_PART = 1_000
@@ -37,58 +39,6 @@
 IGNORED = "ignored"
 
 
-@attrs.frozen
-class Record:
-    """The envelope of a record that changes one object.
-
-    :param id: identifier of this publication, chosen by the publisher.
-    :param base_revision: the revision that it replaces, ``None`` to create.
-    :param spec: the specification, ``None`` to delete.
-    """
-
-    schema_version: int
-    id: str
-    kind: str
-    name: str
-    base_revision: int | None
-    spec: t.Any
-    author: str = ""
-
-
-@attrs.frozen
-class StoredObject:
-    """An object as a snapshot carries it.
-
-    :param usable_version: schema version of ``usable_spec``.
-    :param usable_spec: the last specification that the writer could use.
-    """
-
-    kind: str
-    name: str
-    revision: int
-    schema_version: int
-    spec: t.Any
-    usable_version: int | None = None
-    usable_spec: t.Any = None
-
-
-@attrs.frozen
-class SnapshotPart:
-    """A part of a snapshot record.
-
-    :param covers: the last offset whose effect it contains.
-    :param part: number of this part from zero.
-    """
-
-    schema_version: int
-    id: str
-    kind: str
-    covers: int
-    part: int
-    parts: int
-    objects: list[StoredObject]
-
-
 @attrs.define
 class _Object:
     """An object's current revision, and what is in force of it.
@@ -232,7 +182,7 @@
         """
         if offset <= self._offset:
             return Applied(offset, IGNORED, "the offset is already in force")
-        envelope = _parse_envelope(data)
+        envelope = parse_envelope(data)
         if isinstance(envelope, SnapshotPart):
             return self._apply_snapshot_part(offset, envelope, data)
         if not self._is_complete:
@@ -275,7 +225,7 @@
         :return: whether it was taken.
         """
         texts = list(texts)
-        heads = [_read_head(text) for text in texts]
+        heads = [read_head(text) for text in texts]
         if not heads or None in heads:
             return False
         head = heads[0]
@@ -311,7 +261,7 @@
         self._is_complete = True
         self._parts.clear()
         for text in texts:
-            part = _parse_envelope(text)
+            part = parse_envelope(text)
             if not isinstance(part, SnapshotPart):
                 continue
             for stored in part.objects:
@@ -419,48 +369,6 @@
         return self.kinds is None or kind in self.kinds
 
 
-def parse_record(data: str) -> Record:
-    """Return the record that a JSON text holds.
-
-    :raises RecordError: the text is no record.
-    """
-    envelope = _parse_envelope(data)
-    if isinstance(envelope, RecordError):
-        raise envelope
-    if isinstance(envelope, SnapshotPart):
-        raise RecordError("snapshots are written by routers only", field="kind")
-    return envelope
-
-
-def check_record(record: Record) -> None:
-    """Check a record's specification against its schema version.
-
-    :raises UnknownSchemaError: the schema version is unknown here.
-    :raises RecordError: a field breaks a rule.
-    """
-    if record.spec is not None:
-        parse_spec(record.kind, record.schema_version, record.spec)
-    elif record.base_revision is None:
-        raise RecordError("nothing to delete without a base", field="base_revision")
-
-
-@attrs.frozen
-class _PartHead:
-    """What has to be known of a snapshot's part before it is parsed."""
-
-    kind: str
-    covers: int
-    parts: int
-
-
-def _read_head(text: str) -> _PartHead | None:
-    try:
-        head = msgspec.json.decode(text, type=_PartHead)
-    except msgspec.MsgspecError:
-        return None
-    return head if head.kind == SNAPSHOT_KIND else None
-
-
 def _to_text(spec: t.Any) -> str:
     return json.dumps(spec, separators=(",", ":"))
 
@@ -488,18 +396,3 @@
         return bytes.fromhex(key_hash.removeprefix(KEY_HASH_PREFIX))[:16]
     except ValueError:
         return b""
-
-
-def _parse_envelope(data: str) -> Record | SnapshotPart | RecordError:
-    try:
-        fields = json.loads(data)
-    except ValueError as error:
-        return RecordError(f"not JSON: {error}")
-    if not isinstance(fields, dict):
-        return RecordError("not a JSON object")
-    cls = SnapshotPart if fields.get("kind") == SNAPSHOT_KIND else Record
-    try:
-        return structure(fields, cls)
-    except CheckError as error:
-        fault = error.faults[0]
-        return RecordError(fault.message, field=fault.field)
