A second SIGTERM tells callers instead of cutting them off

Cause: after a second SIGTERM the HTTP server waited 5 s for open answers and then cut their connections; the caller saw a broken transfer. Ruled out: the drain itself, which had returned at once. Change: what is open is refused, truthfully, before the server closes. Conclusion: a test holds it, by conditions and without times.

--- a/packages/snipedeal-router/src/snipedeal_router/serve.py
+++ b/packages/snipedeal-router/src/snipedeal_router/serve.py
@@ -42,6 +42,9 @@
         return EXIT_FAILED
     await stops.acquire()
     is_drained = await drain(router, stops)
+    if not is_drained:
+        # callers are told, rather than cut off in the middle of an answer.
+        await router.plugins["dispatcher"].close()
     # answers that are ready are written before the connections close.
     await asyncio.sleep(_ANSWER_GRACE_S)
     await server.close()
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,41 @@
+"""A second SIGTERM ends a router that still has open answers."""
+
+import asyncio
+import signal
+
+from snipedeal_standins.scenarios import MODEL
+from snipedeal_standins.scenarios import small_plan
+from snipedeal_standins.scenarios import staged
+
+ROUTER = "router-0"
+LONG = 4_000
+
+
+async def end_twice(directory):
+    async with staged(small_plan({"one": 1.0}), directory) as stage:
+        fleet = stage.fleet
+
+        async def is_open():
+            return (await fleet.status(ROUTER)).get("requests", {}).get("open") == 1
+
+        async def is_closing():
+            return (await fleet.status(ROUTER)).get("closing", False)
+
+        call = asyncio.ensure_future(
+            stage.caller.chat(stage.urls[0], "one", MODEL, LONG)
+        )
+        await fleet.wait_until(is_open)
+        fleet.signal(ROUTER, signal.SIGTERM)
+        await fleet.wait_until(is_closing)
+        is_running = fleet.children[ROUTER].is_running
+        fleet.signal(ROUTER, signal.SIGTERM)
+        status = await fleet.wait_exit(ROUTER)
+        return is_running, status, await call
+
+
+def test_second_signal_ends_it_and_callers_are_told(tmp_path):
+    is_running, status, record = asyncio.run(end_twice(tmp_path))
+    assert is_running
+    assert status == 1
+    assert record.outcome == "refused"
+    assert record.ran == "may_have_run"
