Whole path on the users' platform: direct forwarding and its adapter

Cause: the product forwards through agents and had no way to serve callers where targets stand alone and speak HTTP.

--- /dev/null
+++ b/packages/snipedeal-direct/src/snipedeal_direct/__init__.py
@@ -0,0 +1,1 @@
+"""Router that forwards HTTP requests to targets itself, without agents."""
--- /dev/null
+++ b/packages/snipedeal-direct/src/snipedeal_direct/journal.py
@@ -0,0 +1,153 @@
+"""Write structured log lines to standard output without ever waiting."""
+
+import asyncio
+import collections
+import json
+import logging as std_logging
+import os
+import typing as t
+
+from absl import logging
+
+from snipedeal.clock import Clock
+from snipedeal_direct import defaults
+
+
+class QueueHandler(std_logging.Handler):
+    """Keep lines until the loop writes them, and drop what is too much.
+
+    Lines that concern no request are kept in any case where there is room in
+    the queue; lines of requests are also bounded by a rate.
+
+    :param descriptor: file descriptor that is written to.
+    """
+
+    def __init__(self, process: str, clock: Clock, descriptor: int = 1) -> None:
+        super().__init__()
+        self.dropped = 0
+        self._process = process
+        self._clock = clock
+        self._descriptor = descriptor
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._partial = b""
+        self._window_ms = 0.0
+        self._in_window = 0
+        self._told = 0
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        """Queue the line of a record."""
+        fields = getattr(record, "fields", None)
+        now_ms = self._clock.now_ms()
+        if now_ms - self._window_ms >= 1000:
+            self._window_ms = now_ms
+            self._in_window = 0
+        is_over_rate = (
+            fields is not None
+            and "request" in fields
+            and self._in_window >= defaults.LOG_LINES_PER_S
+        )
+        if is_over_rate or len(self._lines) >= defaults.LOG_QUEUE_LINES:
+            self.dropped += 1
+            return
+        self._in_window += 1
+        self._lines.append(self._line(record, fields))
+
+    def flush_lines(self) -> None:
+        """Write what standard output takes without waiting."""
+        if self.dropped != self._told:
+            self._told = self.dropped
+            text = {"process": self._process, "event": "log.dropped"}
+            text["total"] = str(self.dropped)
+            self._lines.append(json.dumps(text).encode() + b"\n")
+        while self._lines or self._partial:
+            if not self._partial:
+                self._partial = b"".join(self._lines)
+                self._lines.clear()
+            try:
+                written = os.write(self._descriptor, self._partial)
+            except BlockingIOError:
+                return
+            except OSError:
+                # standard output is gone; there is nowhere to say so.
+                self.dropped += 1
+                self._partial = b""
+                return
+            self._partial = self._partial[written:]
+
+    def _line(
+        self, record: std_logging.LogRecord, fields: dict[str, t.Any] | None
+    ) -> bytes:
+        line: dict[str, t.Any] = {
+            "time": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "process": self._process,
+            "event": record.getMessage(),
+        }
+        if fields:
+            line.update(fields)
+        if record.exc_info:
+            formatter = std_logging.Formatter()
+            line["error"] = formatter.formatException(record.exc_info)
+        return json.dumps(line, default=str).encode() + b"\n"
+
+
+class Journal:
+    """The process's log: one line for each decision.
+
+    :param process: name of the process.
+    :param level: least severe level, as an ``absl`` verbosity.
+    """
+
+    def __init__(self, process: str, level: int, clock: Clock) -> None:
+        self._handler = QueueHandler(process, clock)
+        self._task: asyncio.Task[None] | None = None
+        self._level = level
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were not written."""
+        return self._handler.dropped
+
+    def start(self) -> None:
+        """Take over the logs of the process."""
+        os.set_blocking(1, False)
+        logging.use_absl_handler()
+        logger = logging.get_absl_logger()
+        logger.handlers = [self._handler]
+        logger.propagate = False
+        root = std_logging.getLogger()
+        root.handlers = [self._handler]
+        logging.set_verbosity(self._level)
+        std_logging.getLogger("asyncio").setLevel(std_logging.WARNING)
+        self._task = asyncio.create_task(self._run(), name="journal")
+
+    async def close(self) -> None:
+        """Write what is left."""
+        if self._task is not None:
+            self._task.cancel()
+        self._handler.flush_lines()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(defaults.LOG_FLUSH_MS / 1000)
+            self._handler.flush_lines()
+
+
+def note(event: str, **fields: t.Any) -> None:
+    """Write a line about a decision or a change of belief.
+
+    :param event: what happened, in dotted words.
+    :param fields: what decided it; ``request`` names the request it touches.
+    """
+    _log(std_logging.INFO, event, fields)
+
+
+def warn(event: str, **fields: t.Any) -> None:
+    """Write a line about something that should not happen."""
+    _log(std_logging.WARNING, event, fields)
+
+
+def _log(level: int, event: str, fields: dict[str, t.Any]) -> None:
+    logger = logging.get_absl_logger()
+    if logger.isEnabledFor(level):
+        logger.log(level, event, extra={"fields": fields})
--- /dev/null
+++ b/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
@@ -0,0 +1,79 @@
+"""Counters and histograms of a router that forwards directly."""
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+from prometheus_client import generate_latest
+
+_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 5, 10, 20)
+
+
+class DirectMetrics:
+    """The metrics of one process; labels are bounded by the configuration."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.answers = Counter(
+            "snipedeal_answers",
+            "Answers to callers by service, status and reason.",
+            ["service", "status", "reason"],
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "snipedeal_attempts",
+            "Requests sent to targets by outcome.",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+        self.repeats = Counter(
+            "snipedeal_repeats",
+            "Wishes to send a request once more, by verdict.",
+            ["service", "verdict"],
+            registry=self.registry,
+        )
+        self.queue_wait = Histogram(
+            "snipedeal_direct_queue_wait_seconds",
+            "Time from arrival to the send to a target.",
+            ["service"],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.first_part = Histogram(
+            "snipedeal_direct_first_part_seconds",
+            "Time from arrival to the answer or a stream's first event.",
+            ["service"],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.waiting = Gauge(
+            "snipedeal_waiting",
+            "Calls that wait at this router.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.connects = Counter(
+            "snipedeal_target_connections",
+            "Connections opened to targets.",
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            "snipedeal_store_calls",
+            "Calls to the platform's store by outcome.",
+            ["call", "outcome"],
+            registry=self.registry,
+        )
+        self.config_version = Gauge(
+            "snipedeal_config_version",
+            "Version of the configuration in force.",
+            registry=self.registry,
+        )
+        self.log_dropped = Gauge(
+            "snipedeal_log_lines_dropped",
+            "Log lines that were not written.",
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return all samples in the text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -0,0 +1,323 @@
+"""Which call goes next, to which target, and which is refused.
+
+Decisions only: no network and no clock. Engines admit in order of arrival, so
+what waits inside one can't be ordered any more. Calls wait at the routers, and
+a target gets no more than it can begin soon.
+"""
+
+import bisect
+import typing as t
+
+import attrs
+
+from snipedeal.utils import stable_hash
+from snipedeal_direct import defaults
+from snipedeal_direct.load import Sent
+from snipedeal_direct.load import TargetLoad
+from snipedeal_direct.model import Call
+from snipedeal_direct.model import EngineLimits
+from snipedeal_direct.model import Target
+from snipedeal_direct.model import TargetState
+from snipedeal_direct.shares import Shares
+
+
+@attrs.frozen
+class Refusal:
+    """Why a call that has not run is turned away.
+
+    :param retry_after_s: when it is worth coming again.
+    """
+
+    status: int
+    reason: str
+    retry_after_s: float
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """A call in the queue.
+
+    :param since_ms: when it was queued.
+    """
+
+    call: Call
+    since_ms: float
+
+
+@attrs.frozen(eq=False)
+class Dispatched:
+    """A call that goes to a target now."""
+
+    call: Call
+    load: TargetLoad
+    sent: Sent
+
+
+@attrs.define
+class ServiceQueue:
+    """Calls that wait for one service, and its targets.
+
+    :param zone: the router's availability zone.
+    """
+
+    service: str
+    zone: str
+    shares: Shares
+    engine: EngineLimits | None = None
+    targets: dict[str, TargetLoad] = attrs.Factory(dict)
+    waiting: list[Waiting] = attrs.Factory(list)
+    peers_waiting: dict[str, list[int]] = attrs.Factory(dict)
+
+    # -- targets ---------------------------------------------------------------
+
+    def set_engine(self, engine: EngineLimits | None) -> None:
+        """Take the limits of the service's engines."""
+        self.engine = engine
+        for load in self.targets.values():
+            load.engine = engine
+
+    def set_target(self, target: Target) -> bool:
+        """Take a target as it is registered; return whether it is a new start."""
+        known = self.targets.get(target.id)
+        if known is not None and _is_same_start(known.target, target):
+            known.target = target
+            return False
+        load = TargetLoad(target, self.engine)
+        rates = [other.read_rate for other in self.targets.values()]
+        if rates:
+            load.read_rate = sum(rates) / len(rates)
+        self.targets[target.id] = load
+        return True
+
+    def remove_target(self, target_id: str) -> None:
+        """Forget a target that is gone."""
+        self.targets.pop(target_id, None)
+
+    def usable(self, now_ms: float) -> list[TargetLoad]:
+        """Return targets that may get work."""
+        return [
+            load
+            for load in self.targets.values()
+            if load.target.state is TargetState.READY
+            and not load.condition.is_avoided(now_ms)
+        ]
+
+    # -- calls -----------------------------------------------------------------
+
+    def waiting_by_slack(self, now_ms: float) -> list[int]:
+        """Return the prompt tokens that wait here, by when they must start.
+
+        Calls that are late already, or whose customers are beyond their share,
+        are in the last class.
+        """
+        sums = [0] * (len(defaults.SLACK_CLASSES_MS) + 1)
+        for item in self.waiting:
+            sums[self._slack_class(item.call, now_ms)] += int(_tokens(item.call))
+        return sums
+
+    def _slack_class(self, call: Call, now_ms: float) -> int:
+        is_over, is_late, latest_ms = self._order(call, now_ms)
+        if is_over or is_late:
+            return len(defaults.SLACK_CLASSES_MS)
+        slack_ms = latest_ms - now_ms
+        return bisect.bisect_left(defaults.SLACK_CLASSES_MS, slack_ms)
+
+    def add(self, call: Call, now_ms: float) -> Refusal | None:
+        """Queue a call, or refuse it at once where it can't be served."""
+        refusal = self._refuse_now(call, now_ms)
+        if refusal is None:
+            self.waiting.append(Waiting(call, now_ms))
+        return refusal
+
+    def remove(self, call: Call) -> None:
+        """Take a call out, since its caller has left."""
+        self.waiting = [item for item in self.waiting if item.call is not call]
+
+    def dispatch(self, now_ms: float) -> list[Dispatched]:
+        """Return the calls that go to targets now, and take them out."""
+        usable = self.usable(now_ms)
+        if not self.waiting or not usable:
+            return []
+        chosen = []
+        kept = []
+        for item in sorted(
+            self.waiting, key=lambda item: self._order(item.call, now_ms)
+        ):
+            load = self._choose(item.call, usable, now_ms)
+            if load is None:
+                kept.append(item)
+                continue
+            # counted at once, so that the next choice sees it.
+            chosen.append(Dispatched(item.call, load, load.begin(item.call, now_ms)))
+            self.shares.note_taken(item.call.customer, item.call.units, now_ms)
+        self.waiting = kept
+        return chosen
+
+    def expire(self, now_ms: float) -> list[tuple[Call, Refusal]]:
+        """Return calls that can't be served any more, and take them out."""
+        refused = []
+        kept = []
+        for item in self.waiting:
+            refusal = self._refuse_waiting(item, now_ms)
+            if refusal is None:
+                kept.append(item)
+            else:
+                refused.append((item.call, refusal))
+        self.waiting = kept
+        return refused
+
+    # -- order -----------------------------------------------------------------
+
+    def _order(self, call: Call, now_ms: float) -> tuple[bool, bool, float]:
+        """Return the place of a call in the queue.
+
+        Customers within their shares go before those beyond, calls that can be
+        in time before late ones, and then the one that must start first.
+        """
+        is_over = self.shares.is_over(call.customer, call.units)
+        latest_ms = call.aim_ms - self._own_reading_ms(call)
+        return is_over, now_ms > latest_ms, latest_ms
+
+    def _own_reading_ms(self, call: Call) -> float:
+        if call.prompt is None:
+            return 0.0
+        loads = self.targets.values()
+        unread = min((load.unread(call) for load in loads), default=call.prompt.tokens)
+        return unread / self._mean_rate() + defaults.FIRST_EVENT_MS
+
+    # -- placing -----------------------------------------------------------------
+
+    def _choose(
+        self, call: Call, usable: t.Sequence[TargetLoad], now_ms: float
+    ) -> TargetLoad | None:
+        """Return the target to send a call to, ``None`` if it should wait.
+
+        A target is looked for by when it can begin, where tokens that it has
+        to read again weigh more: they are capacity lost. If the best one has no
+        room the call waits for it, unless another one is better by then.
+        """
+        loads = [load for load in usable if load.target.id not in call.tried]
+        if not loads:
+            return None
+        if call.prompt is None:
+            return self._choose_plain(call, loads, now_ms)
+        affinity = call.prompt.affinity
+        best = min(loads, key=lambda load: self._score(call, affinity, load))
+        return best if self._has_engine_room(call, best, now_ms) else None
+
+    def _score(self, call: Call, affinity: str, load: TargetLoad) -> float:
+        """Return how late and how costly a target is, in ms."""
+        unread = load.unread(call) * defaults.REREAD_WEIGHT
+        # equal targets are told apart alike by all routers.
+        rank = stable_hash(affinity, load.target.id) / 2.0**64
+        return (
+            (load.reading + unread) / load.read_rate
+            + load.running * defaults.RUNNING_PENALTY_MS
+            + rank * defaults.AFFINITY_MS
+        )
+
+    def _has_engine_room(self, call: Call, load: TargetLoad, now_ms: float) -> bool:
+        engine = load.engine
+        room = load.condition.room(now_ms)
+        if room <= 0:
+            return False
+        slots = engine.slots if engine else load.target.slots
+        if load.running >= max(1.0, slots * defaults.SLOT_SHARE * room):
+            return False
+        if load.running == 0:
+            return True
+        if load.reading > defaults.ENGINE_BACKLOG_MS * load.read_rate * room:
+            return False
+        tokens = call.prompt.tokens + call.prompt.output_tokens if call.prompt else 0
+        memory = engine.memory_tokens * defaults.MEMORY_SHARE if engine else 0.0
+        return not memory or load.held + tokens <= memory
+
+    def _choose_plain(
+        self, call: Call, loads: t.Sequence[TargetLoad], now_ms: float
+    ) -> TargetLoad | None:
+        def is_free(load: TargetLoad) -> bool:
+            room = load.target.slots * defaults.PLAIN_ROOM
+            return load.running < max(1.0, room * load.condition.room(now_ms))
+
+        free = [load for load in loads if is_free(load)]
+        if not free:
+            return None
+
+        def score(load: TargetLoad) -> tuple[float, bool, int]:
+            used = load.running / max(1, load.target.slots)
+            failing = load.condition.failure_share(now_ms)
+            # the hash spreads routers that see the same numbers.
+            tie = stable_hash(call.id, load.target.id)
+            return round(used + failing, 1), load.target.zone != self.zone, tie
+
+        return min(free, key=score)
+
+    # -- refusing ----------------------------------------------------------------
+
+    def _refuse_now(self, call: Call, now_ms: float) -> Refusal | None:
+        if not any(
+            load.target.state is TargetState.READY for load in self.targets.values()
+        ):
+            return Refusal(503, "no_targets", self._retry_after(call, 0.0))
+        if len(self.waiting) >= defaults.QUEUE_LIMIT:
+            return Refusal(503, "queue_full", self._retry_after(call, 0.0))
+        return self._refuse_hopeless(call, self._wait_ms(call, now_ms), now_ms)
+
+    def _refuse_waiting(self, item: Waiting, now_ms: float) -> Refusal | None:
+        call = item.call
+        if now_ms >= call.give_up_ms - defaults.FINAL_ANSWER_RESERVE_MS:
+            return Refusal(503, "deadline", self._retry_after(call, 0.0))
+        return self._refuse_hopeless(call, 0.0, now_ms)
+
+    def _refuse_hopeless(
+        self, call: Call, wait_ms: float, now_ms: float
+    ) -> Refusal | None:
+        aim_ms = call.route.target_latency_ms
+        limit_ms = min(
+            call.arrived_ms + aim_ms * defaults.LATE_LIMIT_AIMS,
+            call.give_up_ms - defaults.FINAL_ANSWER_RESERVE_MS,
+        )
+        start_ms = now_ms + wait_ms + self._own_reading_ms(call)
+        if start_ms <= limit_ms:
+            return None
+        return Refusal(503, "too_late", self._retry_after(call, wait_ms))
+
+    def _wait_ms(self, call: Call, now_ms: float) -> float:
+        """Return how long a new call would wait until it can begin."""
+        usable = self.usable(now_ms)
+        if call.prompt is None or not usable:
+            return 0.0
+        order = self._order(call, now_ms)
+        rate = sum(load.read_rate for load in usable)
+        ahead = sum(
+            _tokens(item.call)
+            for item in self.waiting
+            if self._order(item.call, now_ms) < order
+        )
+        slack_class = self._slack_class(call, now_ms)
+        for waiting in self.peers_waiting.values():
+            ahead += sum(waiting[:slack_class]) + waiting[slack_class] / 2
+        return ahead / rate + min(load.reading / load.read_rate for load in usable)
+
+    def _retry_after(self, call: Call, wait_ms: float) -> float:
+        """Return when to come again, s: when the queue has likely emptied."""
+        spread = 0.5 + stable_hash(call.id) / 2.0**64
+        wanted_s = wait_ms / 1000 * spread
+        low, high = defaults.RETRY_AFTER_MIN_S, defaults.RETRY_AFTER_MAX_S
+        return min(high, max(low * 2 * spread, wanted_s))
+
+    def _mean_rate(self) -> float:
+        rates = [load.read_rate for load in self.targets.values()]
+        return sum(rates) / len(rates) if rates else defaults.INITIAL_READ_RATE
+
+
+def _is_same_start(known: Target, target: Target) -> bool:
+    return (known.host, known.port, known.started_ms) == (
+        target.host,
+        target.port,
+        target.started_ms,
+    )
+
+
+def _tokens(call: Call) -> float:
+    return float(call.prompt.tokens) if call.prompt else 0.0
--- /dev/null
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -0,0 +1,246 @@
+"""The central object: settings, what is known, and the parts that work."""
+
+import asyncio
+import importlib
+import os
+
+import attrs
+
+from snipedeal.clock import Clock
+from snipedeal.exceptions import RecordError
+from snipedeal.exceptions import SettingsError
+from snipedeal_direct import defaults
+from snipedeal_direct.dispatching import Dispatcher
+from snipedeal_direct.egress import Pool
+from snipedeal_direct.forwarding import Forwarder
+from snipedeal_direct.ingress import Exchange
+from snipedeal_direct.ingress import IngressServer
+from snipedeal_direct.journal import Journal
+from snipedeal_direct.journal import note
+from snipedeal_direct.journal import warn
+from snipedeal_direct.metrics import DirectMetrics
+from snipedeal_direct.model import Call
+from snipedeal_direct.model import CallerLimits
+from snipedeal_direct.model import HeaderNames
+from snipedeal_direct.model import RouteTable
+from snipedeal_direct.model import Target
+from snipedeal_direct.peers import CONFIG_PATH
+from snipedeal_direct.peers import Peers
+from snipedeal_direct.queueing import Refusal
+from snipedeal_direct.routing import Routing
+from snipedeal_direct.settings import DirectSettings
+from snipedeal_direct.settings import split_address
+from snipedeal_direct.source import SOURCES
+from snipedeal_direct.source import SourceEvents
+from snipedeal_direct.source import SourceFactory
+
+
+class DirectRouter:
+    """Own all parts of a router that forwards directly.
+
+    :param settings: checked settings.
+    """
+
+    def __init__(self, settings: DirectSettings, journal: Journal) -> None:
+        self.settings = settings
+        self.clock = Clock()
+        self.metrics = DirectMetrics()
+        self.routing = Routing()
+        self.pool = Pool(
+            self.clock.monotonic, lambda address: self.metrics.connects.inc()
+        )
+        self.dispatcher = Dispatcher(settings, self.clock)
+        self.dispatcher.on_new_start = self._on_new_start
+        self.is_store_away = True
+        self.stopping_since_ms = 0.0
+        self._journal = journal
+        self._document = b""
+        events = SourceEvents(
+            self._on_table, self._on_target, self._on_peer, self._on_reach
+        )
+        self._source = _find_source(settings)(self, events)
+        self.peers = Peers(self)
+        self.dispatcher.on_sent = self.peers.note_sent
+        self.forwarder = Forwarder(self)
+        self._ingress = IngressServer(
+            self.clock, self.forwarder.take, self._on_bad_request, self._limits
+        )
+        self._observed = [
+            IngressServer(self.clock, handle, self._on_bad_request, CallerLimits)
+            for handle in (self._tell_ready, self._tell_metrics, self._tell_config)
+        ]
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def headers(self) -> HeaderNames:
+        """Names of the headers that the platform uses."""
+        return self._source.headers
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.routing.table is not None and not self.stopping_since_ms
+
+    # -- life ------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Open all addresses and begin to follow the platform."""
+        settings = self.settings
+        note("process.started", pid=os.getpid(), zone=settings.zone)
+        addresses = (settings.ready, settings.metrics, settings.peer)
+        for server, address in zip(self._observed, addresses, strict=True):
+            await server.start(*split_address(address))
+        await self.peers.start()
+        self.dispatcher.start()
+        self._source.start()
+        await self._ingress.start(*split_address(settings.listen))
+        self._tasks.append(asyncio.create_task(self._expire(), name="expire"))
+
+    async def close(self) -> None:
+        """Close everything."""
+        for task in self._tasks:
+            task.cancel()
+        await self._ingress.close()
+        await self.forwarder.close()
+        await self._source.close()
+        await self.dispatcher.close()
+        await self.peers.close()
+        self.pool.close()
+        for server in self._observed:
+            await server.close()
+        note("process.stopped", open=self.forwarder.open_calls)
+
+    async def drain(self) -> None:
+        """Answer what is open and what still comes, until the grace ends."""
+        self.stopping_since_ms = self.clock.now_ms()
+        self._ingress.is_closing = True
+        note("process.stopping", open=self.forwarder.open_calls)
+        limit_ms = self.settings.bounds.grace_ms - defaults.STOP_RESERVE_MS
+        while True:
+            await asyncio.sleep(defaults.STOP_POLL_MS / 1000)
+            since_ms = self.clock.now_ms() - self.stopping_since_ms
+            if since_ms >= limit_ms:
+                break
+            if since_ms < defaults.STOP_LEAST_MS:
+                continue
+            if not self.forwarder.open_calls:
+                self._ingress.close_idle()
+                if not self._ingress.connections:
+                    break
+
+    def stop_refusal(self, call: Call, now_ms: float) -> Refusal | None:
+        """Refuse a new call that would not be whole before the process ends."""
+        if not self.stopping_since_ms:
+            return None
+        since_ms = now_ms - self.stopping_since_ms
+        if since_ms < defaults.STOP_TAKES_WORK_MS:
+            return None
+        left_ms = self.settings.bounds.grace_ms - defaults.STOP_RESERVE_MS - since_ms
+        if not call.route.is_stream and call.route.target_latency_ms * 2 < left_ms:
+            return None
+        return Refusal(503, "stopping", defaults.RETRY_AFTER_MIN_S)
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(defaults.POOL_EXPIRE_MS / 1000)
+            self.pool.expire()
+
+    # -- what the source tells ---------------------------------------------------
+
+    def apply_document(self, document: bytes, origin: str) -> None:
+        """Take a configuration as it is stored; the last good one stays."""
+        try:
+            table = self._source.read_table(document)
+        except RecordError as error:
+            warn("config.unreadable", origin=origin, error=str(error))
+            return
+        self._apply_table(table, document, origin)
+
+    def _on_table(self, table: RouteTable, document: bytes) -> None:
+        self._apply_table(table, document, "store")
+
+    def _apply_table(self, table: RouteTable, document: bytes, origin: str) -> None:
+        before = self.routing.version
+        if not self.routing.apply(table):
+            return
+        self._document = document
+        self.dispatcher.apply_table(table)
+        self.metrics.config_version.set(table.version)
+        note(
+            "config.applied",
+            version=table.version,
+            before=before,
+            origin=origin,
+            routes=len(table.routes),
+            keys=len(table.customers) if table.customers is not None else -1,
+        )
+
+    def _on_target(self, target_id: str, target: Target | None) -> None:
+        note(
+            "target.listed",
+            target=target_id,
+            state=target.state.value if target else "gone",
+            service=target.service if target else "",
+            address=f"{target.host}:{target.port}" if target else "",
+        )
+        self.dispatcher.apply_target(target_id, target)
+
+    def _on_new_start(self, target: Target) -> None:
+        # connections to what ran at this address before are of no use.
+        self.pool.forget((target.host, target.port))
+
+    def _on_peer(self, name: str, address: str | None) -> None:
+        self.peers.apply_peer(name, address)
+
+    def _on_reach(self, is_reached: bool, detail: str) -> None:
+        if self.is_store_away == (not is_reached):
+            return
+        self.is_store_away = not is_reached
+        note("store.reached" if is_reached else "store.lost", detail=detail)
+
+    # -- questions ---------------------------------------------------------------
+
+    def _limits(self) -> CallerLimits:
+        return self.routing.limits
+
+    def _on_bad_request(self, status: int, detail: str) -> None:
+        self.metrics.answers.labels("", str(status), "bad_request").inc()
+        note("request.unreadable", status=status, reason=detail)
+
+    def _tell_ready(self, exchange: Exchange) -> None:
+        exchange.answer(200 if self.is_ready else 503, [], b"")
+
+    def _tell_metrics(self, exchange: Exchange) -> None:
+        for name, queue in self.dispatcher.queues.items():
+            self.metrics.waiting.labels(name).set(len(queue.waiting))
+        self.metrics.log_dropped.set(self._journal.dropped)
+        text = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        exchange.answer(200, text, self.metrics.render())
+
+    def _tell_config(self, exchange: Exchange) -> None:
+        if exchange.request.path != CONFIG_PATH or not self._document:
+            exchange.answer(404, [], b"")
+        else:
+            exchange.answer(200, [], self._document)
+
+
+def _find_source(settings: DirectSettings) -> SourceFactory:
+    name = settings.source.adapter
+    try:
+        importlib.import_module(name)
+    except ImportError as error:
+        raise SettingsError(f"source.adapter: {name!r}: {error}", "settings") from error
+    if name not in SOURCES:
+        raise SettingsError(f"source.adapter: {name!r} registers no source", "settings")
+    return SOURCES[name]
+
+
+def reload(router: DirectRouter, settings: DirectSettings) -> None:
+    """Put changed settings in force as far as a running process can."""
+    changed = [
+        field.name
+        for field in attrs.fields(DirectSettings)
+        if getattr(settings, field.name) != getattr(router.settings, field.name)
+    ]
+    router.settings = attrs.evolve(router.settings, bounds=settings.bounds)
+    note("settings.reloaded", changed=changed)
--- /dev/null
+++ b/packages/snipedeal-direct/src/snipedeal_direct/routing.py
@@ -0,0 +1,102 @@
+"""Find the route of a request in the configuration in force."""
+
+import random
+
+import attrs
+
+from snipedeal_direct.model import CallerLimits
+from snipedeal_direct.model import Route
+from snipedeal_direct.model import RouteTable
+from snipedeal_direct.model import Service
+
+
+@attrs.define
+class Routing:
+    """The newest route table that this process knows.
+
+    :param chance: draws the service of a split route.
+    """
+
+    chance: random.Random = attrs.Factory(random.Random)
+    _table: RouteTable | None = None
+    _by_host: dict[str, list[Route]] = attrs.Factory(dict)
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The table in force, ``None`` before the first."""
+        return self._table
+
+    @property
+    def version(self) -> int:
+        """Version in force, -1 before the first."""
+        return -1 if self._table is None else self._table.version
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Bounds of what callers may send."""
+        return CallerLimits() if self._table is None else self._table.limits
+
+    def apply(self, table: RouteTable) -> bool:
+        """Put a table in force unless it is not newer; return whether it was."""
+        if table.version <= self.version:
+            return False
+        by_host: dict[str, list[Route]] = {}
+        for route in table.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self._table = table
+        self._by_host = by_host
+        return True
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path.
+
+        :param host: the host without a port, in lower case.
+        :param path: the path without a query.
+        """
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def draw_service(self, route: Route) -> str:
+        """Return a service of a route by the split's weights."""
+        if len(route.services) == 1:
+            return route.services[0][0]
+        names = [name for name, _ in route.services]
+        weights = [weight for _, weight in route.services]
+        if sum(weights) <= 0:
+            return names[0]
+        return self.chance.choices(names, weights)[0]
+
+    def service(self, name: str) -> Service | None:
+        """Return what is known of a service."""
+        return None if self._table is None else self._table.services.get(name)
+
+    def customer(self, key: str) -> str | None:
+        """Return the customer that holds a key, ``None`` for an unknown key."""
+        if self._table is None or self._table.customers is None:
+            return None
+        return self._table.customers.get(key)
+
+    @property
+    def has_keys(self) -> bool:
+        """Whether callers need a key on routes that are not public."""
+        return self._table is not None and self._table.customers is not None
+
+
+def split_host(value: str) -> str:
+    """Return the host of a ``Host`` header, without its port."""
+    host = value.strip().lower()
+    name, separator, port = host.rpartition(":")
+    return name if separator and port.isdigit() else host
+
+
+def split_path(target: bytes) -> str:
+    """Return the path of a request target, without its query."""
+    path = target.partition(b"?")[0].decode("latin-1")
+    scheme, separator, rest = path.partition("://")
+    if separator and not scheme.startswith("/"):
+        return "/" + rest.partition("/")[2]
+    return path
--- /dev/null
+++ b/packages/snipedeal-direct/src/snipedeal_direct/serve.py
@@ -0,0 +1,64 @@
+"""Run a router that forwards directly until it is told to end."""
+
+import asyncio
+import signal
+import sys
+
+from snipedeal.clock import Clock
+from snipedeal.exceptions import SettingsError
+from snipedeal.logs import LEVELS
+from snipedeal.settings import load_settings
+from snipedeal_direct.journal import Journal
+from snipedeal_direct.journal import warn
+from snipedeal_direct.router import DirectRouter
+from snipedeal_direct.router import reload
+from snipedeal_direct.settings import DirectSettings
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_INPUT = 2
+
+
+def run(path: str) -> int:
+    """Run a router by its settings file; return the exit status.
+
+    :param path: JSON file with the settings.
+    """
+    try:
+        settings = load_settings(path, DirectSettings)
+        return asyncio.run(_serve(settings, path))
+    except SettingsError as error:
+        print(error.message, file=sys.stderr)
+        return EXIT_INPUT
+
+
+async def _serve(settings: DirectSettings, path: str) -> int:
+    journal = Journal(settings.name, LEVELS[settings.log_level], Clock())
+    journal.start()
+    router = DirectRouter(settings, journal)
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(router, path))
+    try:
+        await router.start()
+    except OSError as error:
+        warn("process.start_failed", error=str(error))
+        await journal.close()
+        return EXIT_FAILED
+    await stop.wait()
+    await router.drain()
+    await router.close()
+    await journal.close()
+    return EXIT_OK
+
+
+def _reload(router: DirectRouter, path: str) -> None:
+    """Read the settings again; unusable ones leave those in force."""
+    try:
+        settings = load_settings(path, DirectSettings)
+    except SettingsError as error:
+        warn("settings.unusable", error=error.message)
+        return
+    reload(router, settings)
--- a/packages/snipedeal/src/snipedeal/logs.py
+++ b/packages/snipedeal/src/snipedeal/logs.py
@@ -7,7 +7,8 @@
 import attrs
 from absl import logging
 
-_LEVELS = {
+#: Verbosity of ``absl`` by the names that settings give.
+LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
     "warning": logging.WARNING,
@@ -57,11 +58,11 @@
     handler = logging.get_absl_handler()
     handler.python_handler.stream = sys.stderr
     handler.setFormatter(JsonFormatter(process))
-    logging.set_verbosity(_LEVELS[level])
+    logging.set_verbosity(LEVELS[level])
     for name in ("uvicorn.access", "uvicorn.error", "asyncio", "falcon"):
         std_logging.getLogger(name).setLevel(std_logging.WARNING)
 
 
 def level_names() -> list[str]:
     """Return the names of the levels that settings may give."""
-    return list(_LEVELS)
+    return list(LEVELS)
