--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -85,7 +85,7 @@
 MEMORY_SHARE = 0.9
 #: Share of an engine's slots that is used; the rest covers calls that other
 #: routers have just sent.
-SLOT_SHARE = 0.9
+SLOT_SHARE = 0.5
 #: Tokens of shared parts that are assumed to stay in a target's memory, as a
 #: share of it.
 CACHE_SHARE = 0.5
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -457,6 +457,12 @@
             route=call.route.name if call else "",
             customer=call.customer if call else "",
             age_ms=round(self._clock.now_ms() - call.arrived_ms) if call else 0,
+            tokens=call.prompt.tokens if call and call.prompt else 0,
+            output=call.prompt.output_tokens if call and call.prompt else 0,
+            is_over=queue.shares.is_over(call.customer, call.units)
+            if queue and call
+            else False,
+            level=round(min(queue.shares.level, 1e9)) if queue else 0,
             waiting=len(queue.waiting) if queue else 0,
             reading=round(sum(load.reading for load in queue.targets.values()))
             if queue
@@ -506,6 +512,7 @@
             customer=call.customer,
             waited_ms=round(waited_ms),
             tokens=call.prompt.tokens if call.prompt else 0,
+            output=call.prompt.output_tokens if call.prompt else 0,
             unread=round(dispatched.sent.unread),
             ahead=round(dispatched.sent.ahead),
             running=load.running,
