--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -80,6 +80,8 @@
 #: Time from a prompt's end to its first event in an idle engine, ms, before
 #: any was measured.
 FIRST_EVENT_MS = 30.0
+#: Part of a target's room that calls beyond their customer's share may use.
+SPARE_ROOM = 0.4
 #: Share of an engine's memory that running requests may fill; more makes
 #: engines preempt requests.
 MEMORY_SHARE = 0.9
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -205,6 +205,17 @@
         best = min(loads, key=lambda load: self._score(call, affinity, load))
         return best if self._has_engine_room(call, best, now_ms) else None
 
+    def _room(self, call: Call, load: TargetLoad, now_ms: float) -> float:
+        """Return the part of a target's room that a call may use, 0 to 1.
+
+        Calls beyond their customer's share use what is idle, and leave the rest
+        to calls that may come next.
+        """
+        room = load.condition.room(now_ms)
+        if self.shares.is_over(call.customer, call.units):
+            room *= defaults.SPARE_ROOM
+        return room
+
     def _score(self, call: Call, affinity: str, load: TargetLoad) -> float:
         """Return how late and how costly a target is, in ms."""
         unread = load.unread(call) * defaults.REREAD_WEIGHT
@@ -218,7 +229,7 @@
 
     def _has_engine_room(self, call: Call, load: TargetLoad, now_ms: float) -> bool:
         engine = load.engine
-        room = load.condition.room(now_ms)
+        room = self._room(call, load, now_ms)
         if room <= 0:
             return False
         slots = engine.slots if engine else load.target.slots
