Idle engines take large calls beyond shares; use of shares fades

Change: an engine that reads nothing and runs below 0.06 of its slots takes any call; use fades with the window.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -80,6 +80,9 @@
 #: Time from a prompt's end to its first event in an idle engine, ms, before
 #: any was measured.
 FIRST_EVENT_MS = 30.0
+#: An engine that reads nothing and runs less than this share of its slots is
+#: idle enough for any call.
+IDLE_SHARE = 0.06
 #: Part of a target's room that calls beyond their customer's share may use.
 SPARE_ROOM = 0.6
 #: Share of an engine's memory that running requests may fill; more makes
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -240,7 +240,9 @@
         if load.running == 0:
             return True
         reading = load.reading
-        if self.shares.is_over(call.customer, call.units):
+        if self.shares.is_over(call.customer, call.units) and (
+            reading > 0 or load.running >= slots * defaults.IDLE_SHARE
+        ):
             # its own prompt would hold up the next call as well.
             reading += load.unread(call)
         if reading > defaults.ENGINE_BACKLOG_MS * load.read_rate * room:
--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -1,11 +1,11 @@
-"""Customers' max-min shares of the fleet's capacity over a sliding window."""
+"""Customers' max-min shares of the fleet's capacity over a recent time."""
 
 import collections
+import math
 import typing as t
 
 import attrs
 
-_BUCKETS = 8
 #: Parts of a share by which customers are ordered.
 _STAGES = 4
 #: Peers repeat everything several times within this.
@@ -32,10 +32,31 @@
 
 
 @attrs.define
-class _Bucket:
-    start_ms: float
-    asked: collections.Counter[str] = attrs.Factory(collections.Counter)
-    taken: collections.Counter[str] = attrs.Factory(collections.Counter)
+class FadingSums:
+    """Sums by customer of which older parts count less.
+
+    :param fade_ms: time constant of the fading.
+    """
+
+    fade_ms: float
+    _sums: dict[str, tuple[float, float]] = attrs.Factory(dict)
+
+    def add(self, customer: str, units: float, now_ms: float) -> None:
+        """Add to a customer's sum."""
+        self._sums[customer] = (self.get(customer, now_ms) + units, now_ms)
+
+    def get(self, customer: str, now_ms: float) -> float:
+        """Return a customer's sum."""
+        value, since_ms = self._sums.get(customer, (0.0, now_ms))
+        return value * math.exp((since_ms - now_ms) / self.fade_ms)
+
+    def all(self, now_ms: float) -> dict[str, float]:
+        """Return the sums of all customers; forget those that have faded."""
+        sums = {name: self.get(name, now_ms) for name in self._sums}
+        for name, value in sums.items():
+            if value < 1.0:
+                del self._sums[name]
+        return sums
 
 
 @attrs.define
@@ -43,17 +64,23 @@
     """What each customer asked for and was given of one service lately.
 
     Answers the load of a customer who sends many times its usual: what it asks
-    beyond its share is served only where nobody else waits.
+    beyond its share is served only where nobody else waits. Use fades, so that
+    a share is given out evenly and not in one burst a window.
 
-    :param window_ms: length of the window.
+    :param window_ms: time over which a customer is owed its share.
     """
 
     window_ms: float
-    _buckets: collections.deque[_Bucket] = attrs.Factory(collections.deque)
+    _asked: FadingSums = attrs.field(init=False)
+    _given: FadingSums = attrs.field(init=False)
     _peers: dict[tuple[str, str], tuple[float, float, float]] = attrs.Factory(dict)
     _level: float = float("inf")
     _taken: dict[str, float] = attrs.Factory(dict)
 
+    def __attrs_post_init__(self) -> None:
+        self._asked = FadingSums(self.window_ms)
+        self._given = FadingSums(self.window_ms)
+
     @property
     def level(self) -> float:
         """Units that a customer gets in a window, infinite without scarcity."""
@@ -61,22 +88,16 @@
 
     def note_asked(self, customer: str, units: float, now_ms: float) -> None:
         """Note what a request asks for."""
-        self._bucket(now_ms).asked[customer] += units
+        self._asked.add(customer, units, now_ms)
 
     def note_taken(self, customer: str, units: float, now_ms: float) -> None:
         """Note what a customer was given."""
-        self._bucket(now_ms).taken[customer] += units
+        self._given.add(customer, units, now_ms)
         self._taken[customer] = self._taken.get(customer, 0.0) + units
 
     def own(self, now_ms: float) -> tuple[dict[str, float], dict[str, float]]:
-        """Return what customers asked and were given here in the window."""
-        self._expire(now_ms)
-        asked: collections.Counter[str] = collections.Counter()
-        taken: collections.Counter[str] = collections.Counter()
-        for bucket in self._buckets:
-            asked.update(bucket.asked)
-            taken.update(bucket.taken)
-        return dict(asked), dict(taken)
+        """Return what customers asked and were given here."""
+        return self._asked.all(now_ms), self._given.all(now_ms)
 
     def note_peer(
         self, peer: str, customer: str, asked: float, taken: float, now_ms: float
@@ -113,14 +134,3 @@
     def is_over(self, customer: str, units: float) -> bool:
         """Whether some more units would take a customer beyond its share."""
         return self._taken.get(customer, 0.0) + units > self._level
-
-    def _bucket(self, now_ms: float) -> _Bucket:
-        self._expire(now_ms)
-        length_ms = self.window_ms / _BUCKETS
-        if not self._buckets or now_ms - self._buckets[-1].start_ms >= length_ms:
-            self._buckets.append(_Bucket(now_ms))
-        return self._buckets[-1]
-
-    def _expire(self, now_ms: float) -> None:
-        while self._buckets and now_ms - self._buckets[0].start_ms > self.window_ms:
-            self._buckets.popleft()
