A burst keeps a customer's queue limit; publish waits while turned away

Cause: calls sent to a gate without asking are not counted as waiting, and those that the gate declined were queued without a check. publish took a 429 of the log service for an unknown outcome. Change: a declined call that never had a place is refused (429, not run) when the queue is full; an append that is turned away is made again, 20 times at most.

--- a/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
+++ b/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
@@ -175,6 +175,7 @@
 
     def _enqueue(self, request: Request, is_first: bool = False) -> None:
         request.phase = Phase.QUEUED
+        request.has_waited = True
         request.attempt = ""
         request.gate = ""
         backlog = self._backlog(request.service)
@@ -370,8 +371,24 @@
         if self._node.is_closing and not request.answer.delivered:
             self.refuse(request, 503, "shutdown", "the router is closing", "queue")
             return
-        if not self._is_refused_now(request, self._node.clock.now_ms()):
-            self._enqueue(request, is_first=True)
+        if self._is_refused_now(request, self._node.clock.now_ms()):
+            return
+        if not request.has_waited and self._refuse_queue_full(request):
+            return
+        self._enqueue(request, is_first=True)
+
+    def _refuse_queue_full(self, request: Request) -> bool:
+        """Refuse a declined request that finds no place in the queue.
+
+        It was sent without asking, so that admission did not see it wait.
+        """
+        customer = self._node.configuration.customer(request.customer)
+        waiting = self.waiting_of(request.service, request.customer)
+        if customer is None or waiting < customer.max_queued:
+            return False
+        detail = f"{waiting} requests of {request.customer} wait already"
+        self.refuse(request, 429, "queue_full", detail, "queue", defaults.RETRY_AFTER_S)
+        return True
 
     def _resume(self, request: Request) -> None:
         """Ask for the rest of an answer at the gate that has it."""
--- a/packages/snipedeal-router/src/snipedeal_router/publishing.py
+++ b/packages/snipedeal-router/src/snipedeal_router/publishing.py
@@ -11,6 +11,7 @@
 from snipedeal.configuration import ACCEPTED
 from snipedeal.configuration import Applied
 from snipedeal.configuration import Configuration
+from snipedeal.exceptions import LogBusyError
 from snipedeal.exceptions import LogUnavailableError
 from snipedeal.exceptions import RecordError
 from snipedeal.platform import LogClient
@@ -22,6 +23,9 @@
 from snipedeal.records import parse_record
 from snipedeal.utils import new_id
 
+#: Tries of an append that is turned away for its rate; the service counts a
+#: second, and tries are LOG_RETRY_MS apart.
+_BUSY_TRIES = 20
 _SETTLE_TRIES = 20
 
 
@@ -160,13 +164,27 @@
         """Append a record; where the answer was lost, look for it by its id."""
         text = json.dumps(unstructure(record))
         try:
-            return await self._log.append(defaults.CONFIG_STREAM, text)
+            return await self._append_when_free(text)
+        except LogBusyError:
+            raise
         except LogUnavailableError as error:
             await self._read_when_back()
             if record.id not in self._offsets:
                 raise error
             return self._offsets[record.id]
 
+    async def _append_when_free(self, text: str) -> int:
+        """Append, waiting while the log service turns calls away for their rate.
+
+        :raises LogBusyError: it still does after the last try; nothing was done.
+        """
+        for _ in range(_BUSY_TRIES - 1):
+            try:
+                return await self._log.append(defaults.CONFIG_STREAM, text)
+            except LogBusyError:
+                await asyncio.sleep(defaults.LOG_RETRY_MS / 1000)
+        return await self._log.append(defaults.CONFIG_STREAM, text)
+
     async def _read_when_back(self) -> None:
         for _ in range(_SETTLE_TRIES):
             try:
--- a/packages/snipedeal-router/src/snipedeal_router/requests.py
+++ b/packages/snipedeal-router/src/snipedeal_router/requests.py
@@ -51,6 +51,7 @@
     :param estimate: upper limit of its cost, zero where unknown.
     :param prompt_units: service units of its prompt.
     :param deadline_ms: monotonic time by which it must be answered.
+    :param has_waited: whether it was given a place in the queue.
     :param claim_key: hash of the idempotency key, empty for idempotent ones.
     """
 
@@ -70,6 +71,7 @@
     estimate: float = 0.0
     prompt_units: float = 0.0
     claim_key: str = ""
+    has_waited: bool = False
     is_streamed: bool = False
     phase: Phase = Phase.NEW
     answer: Answer = attrs.Factory(Answer)
--- a/packages/snipedeal/src/snipedeal/exceptions.py
+++ b/packages/snipedeal/src/snipedeal/exceptions.py
@@ -55,6 +55,10 @@
     """
 
 
+class LogBusyError(LogUnavailableError):
+    """The log service turned a call away for its rate; nothing was done."""
+
+
 class EngineError(SnipedealError):
     """A target did not answer as its protocol says."""
 
--- a/packages/snipedeal/src/snipedeal/platform.py
+++ b/packages/snipedeal/src/snipedeal/platform.py
@@ -14,12 +14,14 @@
 import msgspec
 
 from snipedeal import defaults
+from snipedeal.exceptions import LogBusyError
 from snipedeal.exceptions import LogUnavailableError
 from snipedeal.exceptions import PlatformError
 from snipedeal.membership import Vm
 from snipedeal.membership import VmList
 
 _HTTP_OK = 200
+_HTTP_TOO_MANY = 429
 _HTTP_NOT_MODIFIED = 304
 
 
@@ -104,6 +106,8 @@
             raise LogUnavailableError(
                 f"log service: {error or type(error).__name__}", step, self._url
             ) from error
+        if response.status == _HTTP_TOO_MANY:
+            raise LogBusyError("log service is over its rate", step, self._url)
         if response.status != _HTTP_OK:
             raise LogUnavailableError(
                 f"log service answered {response.status}", step, self._url
