Demo of real routers before a stand-in of the platform; log and name tests

Change: make demo-platform, and a test that stops one router and kills another under load and compares what ran with what callers were told.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	packages/snipedeal-direct platform packages/snipedeal-standins
 ARGS ?=
 
-.PHONY: setup test lint format demo proof bench capacity wheels
+.PHONY: setup test lint format demo demo-platform proof bench capacity wheels
 
 setup: .venv/ready
 
@@ -29,6 +29,9 @@
 demo: setup
 	$(BIN)/python -m snipedeal_standins.demo $(ARGS)
 
+demo-platform: setup
+	$(BIN)/python -m snipedeal_standins.edge_demo $(ARGS)
+
 proof: setup
 	$(BIN)/python -m snipedeal_standins.proof $(ARGS)
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -106,11 +106,13 @@
 #: Calls wait for a first answer as long as this many times their aim before
 #: they are refused.
 LATE_LIMIT_AIMS = 2.5
+#: The same for calls beyond their customer's share.
+SPARE_LIMIT_AIMS = 1.0
 #: Plain targets are sent this many times their slots at most.
 PLAIN_ROOM = 1.0
 #: Bounds of Retry-After, s.
 RETRY_AFTER_MIN_S = 0.3
-RETRY_AFTER_MAX_S = 2.0
+RETRY_AFTER_MAX_S = 4.0
 
 # -- peers --------------------------------------------------------------------
 #: Loads are told to peers this often, ms.
--- a/packages/snipedeal-direct/src/snipedeal_direct/journal.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/journal.py
@@ -56,8 +56,8 @@
         """Write what standard output takes without waiting."""
         if self.dropped != self._told:
             self._told = self.dropped
-            text = {"process": self._process, "event": "log.dropped"}
-            text["total"] = str(self.dropped)
+            text: dict[str, t.Any] = {"process": self._process, "event": "log.dropped"}
+            text["total"] = self.dropped
             self._lines.append(json.dumps(text).encode() + b"\n")
         while self._lines or self._partial:
             if not self._partial:
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -291,9 +291,10 @@
     def _refuse_hopeless(
         self, call: Call, wait_ms: float, now_ms: float
     ) -> Refusal | None:
-        aim_ms = call.route.target_latency_ms
+        is_over = self.shares.is_over(call.customer, call.units)
+        aims = defaults.SPARE_LIMIT_AIMS if is_over else defaults.LATE_LIMIT_AIMS
         limit_ms = min(
-            call.arrived_ms + aim_ms * defaults.LATE_LIMIT_AIMS,
+            call.arrived_ms + call.route.target_latency_ms * aims,
             call.give_up_ms - defaults.FINAL_ANSWER_RESERVE_MS,
         )
         start_ms = now_ms + wait_ms + self._own_reading_ms(call)
@@ -319,7 +320,12 @@
         return ahead / rate + min(load.reading / load.read_rate for load in usable)
 
     def _retry_after(self, call: Call, wait_ms: float) -> float:
-        """Return when to come again, s: when the queue has likely emptied."""
+        """Return when to come again, s.
+
+        By then the queue has likely emptied, and the customer is within its
+        share again. Callers that are refused together come again one by one.
+        """
+        wait_ms = max(wait_ms, self.shares.back_ms(call.customer, call.units))
         spread = 0.5 + stable_hash(call.id) / 2.0**64
         wanted_s = wait_ms / 1000 * spread
         low, high = defaults.RETRY_AFTER_MIN_S, defaults.RETRY_AFTER_MAX_S
--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -131,6 +131,19 @@
         taken = self._taken.get(customer, 0.0)
         return min(_STAGES, int(_STAGES * taken / self._level))
 
+    def back_ms(self, customer: str, units: float) -> float:
+        """Return after what time some more units are within a share again.
+
+        It is at most the window: more units than a whole share always exceed it.
+        """
+        taken = self._taken.get(customer, 0.0)
+        room = self._level - units
+        if taken <= room:
+            return 0.0
+        if room <= 0:
+            return self.window_ms
+        return min(self.window_ms, self.window_ms * math.log(taken / room))
+
     def is_over(self, customer: str, units: float) -> bool:
         """Whether some more units would take a customer beyond its share."""
         return self._taken.get(customer, 0.0) + units > self._level
--- /dev/null
+++ b/tests/test_edge_demo.py
@@ -0,0 +1,13 @@
+import asyncio
+
+import pytest
+
+from snipedeal_standins import edge_demo
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_real_routers_keep_their_promises_while_some_end(tmp_path, seed):
+    load = asyncio.run(edge_demo.play(tmp_path, seed))
+    assert load.wrong == []
+    served = sum(n for (_, outcome), n in load.outcomes.items() if outcome == "200")
+    assert served > 0
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,57 @@
+"""Logs are bounded and never wait."""
+
+import json
+import logging as std_logging
+import os
+
+from snipedeal_direct import defaults
+from snipedeal_direct.journal import QueueHandler
+
+
+class StillClock:
+    def now_ms(self):
+        return 5
+
+
+def make_record(event, **fields):
+    record = std_logging.LogRecord("t", std_logging.INFO, "", 0, event, (), None)
+    record.fields = fields
+    return record
+
+
+def test_lines_of_requests_are_bounded_and_counted():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    handler = QueueHandler("router-a", StillClock(), writer)
+    for number in range(defaults.LOG_LINES_PER_S + 50):
+        handler.emit(make_record("request.sent", request=f"r{number}"))
+    # what concerns no request is still written.
+    handler.emit(make_record("store.lost", detail="x"))
+    handler.flush_lines()
+    os.close(writer)
+    with os.fdopen(reader, "rb") as pipe:
+        lines = [json.loads(line) for line in pipe]
+    assert handler.dropped == 50
+    assert lines[-1]["event"] == "log.dropped"
+    assert lines[-1]["total"] == 50
+    assert lines[-2]["event"] == "store.lost"
+    assert lines[0] == {
+        **lines[0],
+        "process": "router-a",
+        "event": "request.sent",
+        "request": "r0",
+    }
+
+
+def test_full_standard_output_does_not_block():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    handler = QueueHandler("router-a", StillClock(), writer)
+    for number in range(30 * defaults.LOG_QUEUE_LINES):
+        handler.emit(make_record("target.listed", target=f"t{number}"))
+        if number % 500 == 0:
+            handler.flush_lines()
+    assert handler.dropped > 0
+    os.close(reader)
+    handler.flush_lines()
+    os.close(writer)
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -228,3 +228,20 @@
     assert water_level([10, 10, 10], 15) == 5
     assert water_level([1, 10, 10], 15) == 7
     assert water_level([], 5) == float("inf")
+
+
+def test_refused_customer_is_told_when_its_share_is_back():
+    shares = Shares(4000.0)
+    shares.note_taken("hot", 30_000.0, 0.0)
+    shares.note_asked("hot", 60_000.0, 0.0)
+    shares.note_asked("other", 60_000.0, 0.0)
+    shares.update(40_000.0, 0.0)
+    assert shares.is_over("hot", 5_000.0)
+    back_ms = shares.back_ms("hot", 5_000.0)
+    assert 0 < back_ms < 4000
+    # nothing more was given meanwhile, and demand is as it was.
+    shares.note_asked("hot", 60_000.0, back_ms)
+    shares.note_asked("other", 60_000.0, back_ms)
+    shares.update(40_000.0, back_ms + 1)
+    assert not shares.is_over("hot", 5_000.0)
+    assert shares.back_ms("other", 5_000.0) == 0.0
