--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -116,7 +116,7 @@
 
 # -- peers --------------------------------------------------------------------
 #: Loads are told to peers this often, ms.
-PEER_INTERVAL_MS = 100
+PEER_INTERVAL_MS = 30
 #: What a peer said is dropped after this long, ms; some lost datagrams.
 PEER_STALE_MS = 1_000
 #: Everything is told again this often, ms; makes good what was lost.
