Shared parts weigh more when targets are compared

Change: weight 5 for tokens to be read again, 300 ms for the agreed order, 0.7 of an engine's memory taken to keep parts.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -93,16 +93,16 @@
 SLOT_SHARE = 0.5
 #: Tokens of shared parts that are assumed to stay in a target's memory, as a
 #: share of it.
-CACHE_SHARE = 0.5
+CACHE_SHARE = 0.7
 #: Calls that wait are told to peers by when they must start, ms from now.
 SLACK_CLASSES_MS = (100.0, 250.0, 500.0, 1_000.0)
 #: Weight of tokens that would have to be read again when targets are compared.
-REREAD_WEIGHT = 3.0
+REREAD_WEIGHT = 5.0
 #: Weight of a running request when targets are compared, ms; a step of an
 #: engine takes about a tenth of a ms longer with each, for each of its tokens.
 RUNNING_PENALTY_MS = 3.0
 #: Weight of the agreed order of targets when they are compared, ms.
-AFFINITY_MS = 150.0
+AFFINITY_MS = 300.0
 #: Calls wait for a first answer as long as this many times their aim before
 #: they are refused.
 LATE_LIMIT_AIMS = 2.5
