Fields and constants that nothing reads are gone

Cause: reading the change as a newcomer. Change: drain_ms, three fields of Call and two constants removed.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -6,9 +6,6 @@
 CALLER_BUFFER_BYTES = 262_144
 #: Requests a caller may send ahead on one connection before reading pauses.
 PIPELINED_LIMIT = 4
-#: Bytes of a chunked body's framing that count as header bytes; HTTP chunk
-#: lines are short.
-TRAILER_LIMIT_BYTES = 8_192
 #: Backlog of connections that are not accepted yet; the kernel's usual cap.
 ACCEPT_BACKLOG = 1_024
 
@@ -135,9 +132,6 @@
 PEER_CONFIG_INTERVAL_MS = 500
 #: Longest wait for a peer's configuration, ms.
 PEER_CONFIG_TIMEOUT_MS = 800
-#: Customers' recent use is counted over this window, ms, where settings say
-#: nothing else.
-SHARE_WINDOW_MS = 4_000
 
 # -- stopping -----------------------------------------------------------------
 #: New work is still taken for this long after SIGTERM, ms: the entry needs two
--- a/packages/snipedeal-direct/src/snipedeal_direct/egress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/egress.py
@@ -57,11 +57,6 @@
 
     # -- use -----------------------------------------------------------------
 
-    @property
-    def has_answer_begun(self) -> bool:
-        """Whether any byte of the answer has come."""
-        return self._has_bytes
-
     def send(self, data: bytes, has_no_body: bool = False) -> None:
         """Send a request.
 
@@ -141,7 +136,6 @@
             self._end_idle()
             self.close()
             return
-        self._has_bytes = True
         if self._answer is None:
             self._head_bytes += len(data)
             if self._head_bytes > defaults.ANSWER_HEADER_BYTES + len(data):
@@ -233,7 +227,6 @@
         self._is_whole = False
         self._is_interim = False
         self._has_extra = False
-        self._has_bytes = False
         self._has_no_body = False
         self._ends_with_stream = False
         self._keeps_alive = True
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -153,7 +153,6 @@
             body=request.body,
             arrived_ms=request.read_ms,
             give_up_ms=min(deadline_ms, request.read_ms + route.timeout_ms),
-            caller_deadline_ms=deadline_ms,
             aim_ms=request.read_ms + route.target_latency_ms,
             route=route,
             service=routing.draw_service(route),
--- a/packages/snipedeal-direct/src/snipedeal_direct/model.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/model.py
@@ -217,7 +217,6 @@
     body: bytes
     arrived_ms: float
     give_up_ms: float
-    caller_deadline_ms: float
     aim_ms: float
     route: Route
     service: str
@@ -225,9 +224,7 @@
     prompt: Prompt | None = None
     attempts: int = 0
     tried: set[str] = attrs.Factory(set)
-    is_gone: bool = False
     last_event_id: bytes = b""
-    has_begun: bool = False
 
     @property
     def is_repeatable(self) -> bool:
--- a/packages/snipedeal-direct/src/snipedeal_direct/settings.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/settings.py
@@ -39,7 +39,6 @@
     """What the operators ask of the fleet.
 
     :param grace_s: time from SIGTERM to SIGKILL.
-    :param drain_ms: time in which a leaving target must get no more work.
     :param retry_ratio: repeats of requests, as a share of requests.
     :param retry_window_s: the window over which repeats are counted.
     :param retry_slack: repeats in a window beyond the share, fleet-wide.
@@ -47,7 +46,6 @@
     """
 
     grace_s: float = attrs.field(validator=in_range(0.5, 600))
-    drain_ms: float = attrs.field(validator=in_range(100, 600_000))
     retry_ratio: float = attrs.field(validator=in_range(0, 10))
     retry_window_s: float = attrs.field(validator=in_range(0.1, 3_600))
     retry_slack: float = attrs.field(validator=in_range(0, 1_000_000))
--- a/packages/snipedeal-standins/src/snipedeal_standins/edge.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge.py
@@ -264,7 +264,7 @@
         peer=peer,
         source=SourceSettings("snipedeal_platform", store),
         bounds=BoundSettings(
-            grace_s=8, drain_ms=2000, retry_ratio=0.2, retry_window_s=10, retry_slack=50
+            grace_s=8, retry_ratio=0.2, retry_window_s=10, retry_slack=50
         ),
     )
     return DirectRouter(settings, Journal(name, 0, Clock()))
--- a/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
@@ -56,7 +56,6 @@
             "source": {"adapter": "snipedeal_platform", "address": self.store},
             "bounds": {
                 "grace_s": 8,
-                "drain_ms": 2000,
                 "retry_ratio": 0.2,
                 "retry_window_s": 10,
                 "retry_slack": 50,
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -29,9 +29,7 @@
 from snipedeal_standins.edge import configuration
 from snipedeal_standins.edge import route
 
-BOUNDS = BoundSettings(
-    grace_s=8, drain_ms=2000, retry_ratio=0.2, retry_window_s=10, retry_slack=60
-)
+BOUNDS = BoundSettings(grace_s=8, retry_ratio=0.2, retry_window_s=10, retry_slack=60)
 
 
 def table(version=1, **changes):
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -49,7 +49,6 @@
         body=b"",
         arrived_ms=now_ms,
         give_up_ms=now_ms + route.timeout_ms,
-        caller_deadline_ms=now_ms + route.timeout_ms,
         aim_ms=now_ms + aim_ms,
         route=route,
         service="s",
