--- /dev/null
+++ b/tests/test_direct_settings.py
@@ -0,0 +1,105 @@
+"""Settings of the direct router, and the template that the platform fills in."""
+
+import asyncio
+import json
+import pathlib
+import re
+
+import pytest
+
+from snipedeal.exceptions import SettingsError
+from snipedeal.settings import load_settings
+from snipedeal_direct import serve
+from snipedeal_direct.settings import DirectSettings
+from snipedeal_standins.edge import Edge
+
+TEMPLATE = pathlib.Path(__file__).parent.parent / "deploy" / "router.json.template"
+VALUES = {
+    "node": "edge-dar-a-1",
+    "zone": "dar-a",
+    "ip": "10.1.0.33",
+    "listen.front": "10.1.0.33:8783",
+    "listen.ready": "10.1.0.33:8780",
+    "internalPorts.0": "7400",
+    "platform.address": "10.200.1.7:8781",
+    "bounds.graceS": 8,
+    "bounds.retryBudgetRatio": 0.2,
+    "bounds.budgetWindowS": 10,
+    "bounds.retryBudgetSlack": 58,
+    "bounds.quotaWindowS": 4,
+}
+
+
+def fill(values):
+    def replace(match):
+        name, _, form = match[1].partition("|")
+        return json.dumps(values[name]) if form == "json" else str(values[name])
+
+    return re.sub(r"\{\{([^}]*)\}\}", replace, TEMPLATE.read_text())
+
+
+def write(path, text):
+    path.write_text(text)
+    return str(path)
+
+
+def test_template_makes_settings(tmp_path):
+    path = write(tmp_path / "s.json", fill(VALUES))
+    settings = load_settings(path, DirectSettings)
+    assert settings.name == "edge-dar-a-1"
+    assert settings.peer == "10.1.0.33:7400"
+    assert settings.source.address == "10.200.1.7:8781"
+    assert settings.bounds.retry_slack == 58
+    assert settings.bounds.grace_ms == 8000
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "says"),
+    [
+        ("listen.front", "10.1.0.33", "listen: '10.1.0.33' is not host:port"),
+        ("bounds.graceS", 0, "bounds.grace_s: 0"),
+        ("bounds.graceS", "soon", "bounds.grace_s: str given"),
+        ("platform.address", None, "source.address"),
+    ],
+)
+def test_wrong_value_in_the_template_is_named(tmp_path, name, value, says):
+    path = write(tmp_path / "s.json", fill({**VALUES, name: value}))
+    with pytest.raises(SettingsError, match=re.escape(says)):
+        load_settings(path, DirectSettings)
+
+
+def test_missing_field_ends_the_program_with_a_clear_error(tmp_path, capsys):
+    data = json.loads(fill(VALUES))
+    del data["zone"]
+    path = write(tmp_path / "s.json", json.dumps(data))
+    assert serve.run(path) == serve.EXIT_INPUT
+    assert "zone" in capsys.readouterr().err
+    assert serve.run(str(tmp_path / "nowhere.json")) == serve.EXIT_INPUT
+
+
+def test_adapter_that_is_not_there(tmp_path, capfd):
+    data = json.loads(fill(VALUES))
+    data["source"]["adapter"] = "no_such_adapter"
+    path = write(tmp_path / "s.json", json.dumps(data))
+    assert serve.run(path) == serve.EXIT_INPUT
+    assert "no_such_adapter" in capfd.readouterr().err
+
+
+def test_unusable_settings_leave_those_in_force(tmp_path):
+    async def check():
+        edge = Edge()
+        await edge.store.start()
+        try:
+            router = await edge.add_router()
+            before = router.settings
+            path = write(tmp_path / "s.json", "{")
+            serve._reload(router, path)
+            assert router.settings is before
+            changed = fill({**VALUES, "bounds.graceS": 5})
+            serve._reload(router, write(tmp_path / "s.json", changed))
+            assert router.settings.bounds.grace_s == 5
+            assert router.settings.listen == before.listen
+        finally:
+            await edge.close()
+
+    asyncio.run(check())
