Grown sites: few routers read the store, peers tell changes only, busy routers keep up

One router with the calls of a hot customer had no processor time left: each comparison of targets summed the loads of 29 peers, each datagram started a look at the queue, each event of a stream woke a task. Requests reached targets 1.5 s after they were sent on.

Change: three routers in an order that all agree on wait at the store and pass records on; others read where a change did not reach them. Datagrams tell customers and targets that changed, and are read in batches. Totals of peers' loads are kept up to date, looks take a quarter of the processor at most, events are passed on where they are received. A router whose timers are late refuses new calls.

A first fault soak: make soak.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	packages/snipedeal-direct platform packages/snipedeal-standins
 ARGS ?=
 
-.PHONY: setup test lint format demo demo-platform proof bench capacity wheels
+.PHONY: setup test lint format demo demo-platform soak proof bench capacity wheels
 
 setup: .venv/ready
 
@@ -32,6 +32,9 @@
 demo-platform: setup
 	$(BIN)/python -m snipedeal_standins.edge_demo $(ARGS)
 
+soak: setup
+	$(BIN)/python -m snipedeal_standins.soak $(ARGS)
+
 proof: setup
 	$(BIN)/python -m snipedeal_standins.proof $(ARGS)
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -63,6 +63,9 @@
 DISPATCH_DELAY_MS = 2
 #: The queue is looked at least this often while calls wait, ms.
 DISPATCH_TICK_MS = 20
+#: Share of the processor that looks at the queue may take before they are made
+#: less often; what is left is for answers under way.
+DISPATCH_SHARE = 0.25
 #: Calls that are looked at each time, first in order; bounds the work of one look
 #: to some ms with dozens of targets.
 DISPATCH_LOOK_AHEAD = 24
@@ -116,6 +119,13 @@
 RETRY_AFTER_MIN_S = 0.3
 RETRY_AFTER_MAX_S = 4.0
 
+# -- overload of the process -----------------------------------------------------
+#: Timers that fire later than this mean that the process does not keep up, ms; a
+#: call takes some rounds of the loop, which are below its latency target then.
+LAG_LIMIT_MS = 50.0
+#: Part of the lag that is still believed after a timer that was in time.
+LAG_DECAY = 0.8
+
 # -- peers --------------------------------------------------------------------
 #: Loads are told to peers this often, ms.
 PEER_INTERVAL_MS = 30
@@ -123,16 +133,37 @@
 PEER_STALE_MS = 1_000
 #: Everything is told again this often, ms; makes good what was lost.
 PEER_REFRESH_MS = 500
+#: Refreshes that tell of a target or queue with nothing of this router.
+PEER_IDLE_REPEATS = 2
 #: Peers up to which loads are told at the full rate; beyond it the interval
 #: grows with their number, so that what a router hears stays bounded.
 PEER_FANOUT = 10
 #: Largest datagram, bytes; below the usual Ethernet frame.
 PEER_DATAGRAM_BYTES = 1_400
+#: Room for the largest datagram that a peer may send, bytes.
+PEER_RECEIVE_BYTES = 65_536
+#: Datagrams that are taken in one round of the loop, so that calls have their turn.
+PEER_READ_LIMIT = 500
 #: Peers are asked for the configuration this often while the store is away, ms.
 PEER_CONFIG_INTERVAL_MS = 500
 #: Longest wait for a peer's configuration, ms.
 PEER_CONFIG_TIMEOUT_MS = 800
 
+# -- following the store --------------------------------------------------------
+#: Routers that wait at the store for changes; two may fail at once.
+STORE_READERS = 3
+#: A read at the store waits this long for a change, ms; with the answer's slack
+#: it bounds how late a connection that went silent is noticed, which must stay
+#: below the time in which changes take effect.
+FEED_WAIT_MS = 1_000
+#: A router reads the store itself when a change that a peer knows did not reach
+#: it for this long, ms; some intervals between peers.
+FEED_GAP_MS = 120
+#: Pause after a call to the store that failed, ms.
+FEED_RETRY_MS = 300
+#: The same where other routers read the store.
+FEED_FOLLOWER_RETRY_MS = 1_500
+
 # -- stopping -----------------------------------------------------------------
 #: New work is still taken for this long after SIGTERM, ms: the entry needs two
 #: missed questions, a second apart, to stop sending callers here.
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -11,6 +11,7 @@
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import RouteTable
 from snipedeal_direct.model import Target
+from snipedeal_direct.overload import LoopLag
 from snipedeal_direct.queueing import Dispatched
 from snipedeal_direct.queueing import Refusal
 from snipedeal_direct.queueing import ServiceQueue
@@ -37,6 +38,18 @@
     target: Target
 
 
+def pause_after(look_ms: float) -> float:
+    """Return how long to wait from an event to the next look at the queues, ms.
+
+    Answers the load of many targets and waiting calls: the longer a look takes,
+    the more events it bundles, so that looks leave the loop to answers.
+
+    :param look_ms: time that the last look took.
+    """
+    wanted_ms = look_ms * (1 / defaults.DISPATCH_SHARE - 1)
+    return min(defaults.DISPATCH_TICK_MS, max(defaults.DISPATCH_DELAY_MS, wanted_ms))
+
+
 class Dispatcher:
     """Own the queues of all services.
 
@@ -45,6 +58,7 @@
 
     def __init__(self, settings: DirectSettings, clock: Clock) -> None:
         self.queues: dict[str, ServiceQueue] = {}
+        self.lag = LoopLag()
         self.on_sent: t.Callable[[Dispatched], None] = lambda dispatched: None
         self.on_new_start: t.Callable[[Target], None] = lambda target: None
         self._settings = settings
@@ -53,6 +67,7 @@
         self._futures: dict[Call, asyncio.Future[Dispatched]] = {}
         self._capacity = 0.0
         self._is_due = False
+        self._pause_ms = float(defaults.DISPATCH_DELAY_MS)
         self._shares_ms = 0.0
         self._task: asyncio.Task[None] | None = None
 
@@ -157,7 +172,7 @@
         if not self._is_due and self._futures:
             self._is_due = True
             loop = asyncio.get_running_loop()
-            loop.call_later(defaults.DISPATCH_DELAY_MS / 1000, self._run_all)
+            loop.call_later(self._pause_ms / 1000, self._run_all)
 
     # -- inner ---------------------------------------------------------------------
 
@@ -171,9 +186,11 @@
 
     def _run_all(self) -> None:
         self._is_due = False
+        began_ms = self._clock.now_ms()
         for queue in self.queues.values():
             if queue.waiting:
                 self._run(queue)
+        self._pause_ms = pause_after(self._clock.now_ms() - began_ms)
 
     def _run(self, queue: ServiceQueue) -> None:
         now_ms = self._clock.now_ms()
@@ -191,8 +208,10 @@
 
     async def _tick(self) -> None:
         while True:
+            before_ms = self._clock.now_ms()
             await asyncio.sleep(defaults.DISPATCH_TICK_MS / 1000)
             now_ms = self._clock.now_ms()
+            self._note_lag(now_ms - before_ms - defaults.DISPATCH_TICK_MS)
             if now_ms - self._shares_ms >= defaults.PEER_INTERVAL_MS:
                 self._shares_ms = now_ms
                 for queue in self.queues.values():
@@ -200,6 +219,15 @@
                         queue.shares.update(self._capacity, now_ms)
             self._run_all()
 
+    def _note_lag(self, late_ms: float) -> None:
+        before = self.lag.is_overloaded
+        self.lag.note(late_ms)
+        if self.lag.is_overloaded != before:
+            note(
+                "process.overloaded" if not before else "process.keeps_up",
+                late_ms=round(late_ms),
+            )
+
     def _tell_condition(
         self, dispatched: Dispatched, before: float, evidence: str
     ) -> None:
--- a/packages/snipedeal-direct/src/snipedeal_direct/egress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/egress.py
@@ -53,6 +53,7 @@
         self._transport: asyncio.Transport | None = None
         self._wakeup: asyncio.Future[None] | None = None
         self._is_busy = False
+        self._sink: t.Callable[[bytes], bool] | None = None
         self._reset()
 
     # -- use -----------------------------------------------------------------
@@ -88,14 +89,37 @@
                 return b""
             self._check()
             await self._wait()
-        data = b"".join(self._parts)
-        self._parts.clear()
-        self._size = 0
-        if self._is_read_paused and self._transport is not None:
-            self._is_read_paused = False
-            self._transport.resume_reading()
+        data = self._take_parts()
+        self._resume()
         return data
 
+    async def pump(
+        self,
+        sink: t.Callable[[bytes], bool],
+        drained: t.Callable[[], t.Awaitable[None]],
+    ) -> None:
+        """Hand what is left of the body to a function as it comes.
+
+        The function runs where bytes are received: a task that woke for each
+        event of a stream would cost most of a router's processor time.
+
+        :param sink: takes bytes; returns whether more may come at once.
+        :param drained: waits until more may come.
+        :raises BrokenAnswerError: the answer is not whole.
+        """
+        self._sink = sink
+        try:
+            self._pour()
+            while not self._is_whole:
+                self._check()
+                if self._is_read_paused:
+                    await drained()
+                    self._resume()
+                else:
+                    await self._wait()
+        finally:
+            self._sink = None
+
     def finish(self) -> bool:
         """End the use of an answer; return whether the connection can be kept."""
         self._is_busy = False
@@ -148,10 +172,11 @@
                 self._has_extra = True
             else:
                 self._fail(f"not HTTP/1.1: {error}")
-        if self._size > defaults.ANSWER_QUEUE_BYTES and not self._is_read_paused:
-            self._is_read_paused = True
-            if self._transport is not None:
-                self._transport.pause_reading()
+        if self._sink is not None:
+            self._pour()
+            return
+        if self._size > defaults.ANSWER_QUEUE_BYTES:
+            self._pause()
         self._wake()
 
     def eof_received(self) -> None:
@@ -233,6 +258,30 @@
         self._is_read_paused = False
         self._error = ""
 
+    def _take_parts(self) -> bytes:
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._size = 0
+        return data
+
+    def _pour(self) -> None:
+        """Hand what has come to the sink, and wake the task when it matters."""
+        assert self._sink is not None
+        if self._parts and not self._sink(self._take_parts()):
+            self._pause()
+        if self._is_whole or self._is_read_paused or self._error:
+            self._wake()
+
+    def _pause(self) -> None:
+        if not self._is_read_paused and self._transport is not None:
+            self._is_read_paused = True
+            self._transport.pause_reading()
+
+    def _resume(self) -> None:
+        if self._is_read_paused and self._transport is not None:
+            self._is_read_paused = False
+            self._transport.resume_reading()
+
     def _check(self) -> None:
         if self.is_closed or self._error:
             host, port = self.address
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -19,6 +19,7 @@
 from snipedeal_direct.model import parse_prompt
 from snipedeal_direct.queueing import Dispatched
 from snipedeal_direct.queueing import Refusal
+from snipedeal_direct.queueing import retry_after_s
 from snipedeal_direct.retries import RepeatBudget
 from snipedeal_direct.routing import split_host
 from snipedeal_direct.routing import split_path
@@ -161,6 +162,8 @@
             last_event_id=request.header(headers.resume_after).encode("latin-1"),
         )
         refusal = router.stop_refusal(call, now_ms)
+        if refusal is None and router.dispatcher.lag.is_overloaded:
+            refusal = Refusal(503, "overloaded", retry_after_s(call.id))
         if refusal is not None:
             self._refuse(exchange, call, refusal)
             return None
@@ -391,18 +394,22 @@
         """Pass whole events on as they come."""
         head = await connection.head()
         splitter.drop_rest()
-        while data := await connection.read():
+
+        def take(data: bytes) -> bool:
             events = splitter.feed(data)
             if not events:
-                continue
+                return True
             if not exchange.has_begun:
                 self._observe_first(call)
                 exchange.begin(head.status, _end_to_end(head.headers))
-            self._router.dispatcher.note_first_event(dispatched)
+            if not dispatched.sent.has_begun:
+                self._router.dispatcher.note_first_event(dispatched)
             exchange.write(events)
             if splitter.last_id:
                 call.last_event_id = splitter.last_id
-            await exchange.drained()
+            return exchange.is_drained
+
+        await connection.pump(take, exchange.drained)
         if splitter.has_rest:
             raise BrokenAnswerError("it ends within an event", "answer")
         if not exchange.has_begun:
--- a/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
@@ -82,6 +82,11 @@
         """Whether the caller has left."""
         return self._connection.is_lost
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether the caller has read most of what was written."""
+        return self._connection.is_drained
+
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer."""
         if self.is_ended or self.is_gone:
@@ -173,6 +178,11 @@
         """Whether nothing was asked, or is being asked, on it."""
         return self._current is None and not self._began_ms and not self._waiting
 
+    @property
+    def is_drained(self) -> bool:
+        """Whether the caller has read most of what was written."""
+        return self._can_write.is_set()
+
     # -- asyncio.Protocol ------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/packages/snipedeal-direct/src/snipedeal_direct/journal.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/journal.py
@@ -142,6 +142,11 @@
     _log(std_logging.INFO, event, fields)
 
 
+def debug(event: str, **fields: t.Any) -> None:
+    """Write a line about something usual that may come often."""
+    _log(std_logging.DEBUG, event, fields)
+
+
 def warn(event: str, **fields: t.Any) -> None:
     """Write a line about something that should not happen."""
     _log(std_logging.WARNING, event, fields)
--- a/packages/snipedeal-direct/src/snipedeal_direct/load.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/load.py
@@ -27,6 +27,12 @@
     running: int = 0
     held: float = 0.0
 
+    def add(self, other: "Share", sign: int) -> None:
+        """Add another part to a sum, or take it out with a ``sign`` of -1."""
+        self.reading += sign * other.reading
+        self.running += sign * other.running
+        self.held += sign * other.held
+
 
 @attrs.define
 class Cache:
@@ -92,24 +98,47 @@
     engine: EngineLimits | None = None
     condition: Condition = attrs.Factory(Condition)
     own: Share = attrs.Factory(Share)
-    peers: dict[str, Share] = attrs.Factory(dict)
     cache: Cache = attrs.Factory(Cache)
     read_rate: float = defaults.INITIAL_READ_RATE
+    _peers: dict[str, Share] = attrs.Factory(dict)
+    # kept up to date, since each comparison of targets reads it.
+    _peer_total: Share = attrs.Factory(Share)
 
     @property
     def reading(self) -> float:
         """Prompt tokens sent by all routers and not read."""
-        return self.own.reading + sum(share.reading for share in self.peers.values())
+        return self.own.reading + self._peer_total.reading
 
     @property
     def running(self) -> int:
         """Requests of all routers that it has."""
-        return self.own.running + sum(share.running for share in self.peers.values())
+        return self.own.running + self._peer_total.running
 
     @property
     def held(self) -> float:
         """Tokens that the requests of all routers hold in its memory."""
-        return self.own.held + sum(share.held for share in self.peers.values())
+        return self.own.held + self._peer_total.held
+
+    @property
+    def busy_ms(self) -> float:
+        """Time until it can begin a call, weighted by the requests it runs, ms."""
+        return (
+            self.reading / self.read_rate + self.running * defaults.RUNNING_PENALTY_MS
+        )
+
+    def set_peer(self, name: str, share: Share) -> None:
+        """Take a peer's share of the load, in place of what it said before."""
+        self._peer_total.add(share, 1)
+        before = self._peers.get(name)
+        if before is not None:
+            self._peer_total.add(before, -1)
+        self._peers[name] = share
+
+    def drop_peer(self, name: str) -> None:
+        """Forget a peer's share."""
+        before = self._peers.pop(name, None)
+        if before is not None:
+            self._peer_total.add(before, -1)
 
     def unread(self, call: Call) -> float:
         """Return the prompt tokens of a call that it has to read."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/model.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/model.py
@@ -208,6 +208,7 @@
 
     :param give_up_ms: when the caller or the route's time-out ends it.
     :param aim_ms: when its answer, or its first event, should be there.
+    :param units: its share of the service's capacity.
     """
 
     id: str
@@ -225,13 +226,12 @@
     attempts: int = 0
     tried: set[str] = attrs.Factory(set)
     last_event_id: bytes = b""
+    units: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.units = self.prompt.units if self.prompt else 1.0
 
     @property
     def is_repeatable(self) -> bool:
         """Whether it may be run again after it may have run."""
         return self.route.repeat is Repeat.FREELY
-
-    @property
-    def units(self) -> float:
-        """Its share of the service's capacity."""
-        return self.prompt.units if self.prompt else 1.0
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -1,6 +1,7 @@
 """What routers tell each other: loads by datagram, configuration on request."""
 
 import asyncio
+import socket
 import typing as t
 
 import attrs
@@ -9,6 +10,15 @@
 from snipedeal.exceptions import MessageError
 from snipedeal.exceptions import SnipedealError
 from snipedeal_direct import defaults
+from snipedeal_direct.gossip import CustomerReport
+from snipedeal_direct.gossip import Gossip
+from snipedeal_direct.gossip import PartsReport
+from snipedeal_direct.gossip import QueueReport
+from snipedeal_direct.gossip import RecordsReport
+from snipedeal_direct.gossip import Report
+from snipedeal_direct.gossip import TargetReport
+from snipedeal_direct.gossip import pack
+from snipedeal_direct.journal import debug
 from snipedeal_direct.journal import note
 from snipedeal_direct.journal import warn
 from snipedeal_direct.load import Share
@@ -22,80 +32,31 @@
 CONFIG_PATH = b"/config"
 
 
-class TargetReport(msgspec.Struct, array_like=True, tag="t"):
-    """A router's own share of a target's load."""
-
-    service: str
-    target: str
-    reading: int
-    running: int
-    held: int
-
-
-class QueueReport(msgspec.Struct, array_like=True, tag="q"):
-    """Prompt tokens that wait at a router, by when they must start."""
-
-    service: str
-    waiting: list[int]
-
-
-class CustomerReport(msgspec.Struct, array_like=True, tag="c"):
-    """What a customer asked for and was given at a router in the window."""
-
-    service: str
-    customer: str
-    asked: int
-    taken: int
-
-
-class PartsReport(msgspec.Struct, array_like=True, tag="p"):
-    """Prompt parts that a target was sent: identifiers and tokens."""
-
-    service: str
-    target: str
-    parts: list[tuple[str, int]]
-
-
-Report = TargetReport | QueueReport | CustomerReport | PartsReport
-
-
-class Gossip(msgspec.Struct, array_like=True):
-    """A datagram: what changed at a router since its last ones.
-
-    :param version: configuration in force at the sender.
-    """
-
-    sender: str
-    version: int
-    reports: list[Report]
-
-
 @attrs.define
 class Peer:
     """Another router.
 
     :param heard_ms: when its last datagram came.
     :param version: configuration in force there.
+    :param has_reach: whether its calls to the store succeed.
     """
 
     name: str
     address: tuple[str, int]
     heard_ms: float = 0.0
     version: int = -1
+    has_reach: bool = False
 
 
-class _Endpoint(asyncio.DatagramProtocol):
-    """Hand datagrams on."""
-
-    def __init__(self, peers: "Peers") -> None:
-        self._peers = peers
+@attrs.define
+class _Told:
+    """What peers were last told of something.
 
-    def datagram_received(self, data: bytes, addr: t.Any) -> None:
-        """Take a datagram."""
-        self._peers.receive(data, addr)
+    :param times: how often it was told unchanged.
+    """
 
-    def error_received(self, exc: Exception) -> None:
-        """Note that a peer has no port open; its share fades by itself."""
+    report: Report
+    times: int = 1
 
 
 class Peers:
@@ -113,9 +74,8 @@
         self._name = router.settings.name
         self._peers: dict[str, Peer] = {}
         self._decoder = msgspec.msgpack.Decoder(Gossip)
-        self._encoder = msgspec.msgpack.Encoder()
-        self._transport: asyncio.DatagramTransport | None = None
-        self._sent: dict[tuple[str, ...], Report] = {}
+        self._socket: socket.socket | None = None
+        self._told: dict[tuple[str, ...], _Told] = {}
         self._refreshed_ms = 0.0
         self._parts: list[PartsReport] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -132,12 +92,11 @@
 
     async def start(self) -> None:
         """Begin to tell and to listen."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.bind(split_address(self._router.settings.peer))
         loop = asyncio.get_running_loop()
-        address = split_address(self._router.settings.peer)
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Endpoint(self), local_addr=address
-        )
-        self._transport = transport
+        loop.add_reader(self._socket.fileno(), self._read_datagrams)
         self._tasks = [
             asyncio.create_task(self._tell(), name="peers"),
             asyncio.create_task(self._follow_config(), name="peer-config"),
@@ -147,8 +106,10 @@
         """Stop."""
         for task in self._tasks:
             task.cancel()
-        if self._transport is not None:
-            self._transport.close()
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket.fileno())
+            self._socket.close()
+            self._socket = None
 
     def apply_peer(self, name: str, address: str | None) -> None:
         """Take a router's address, or that it has left."""
@@ -170,9 +131,27 @@
         target = dispatched.load.target
         prompt = dispatched.call.prompt
         if prompt is not None and self._peers:
-            parts = [(part.id, part.tokens) for part in prompt.parts]
+            parts = tuple((part.id, part.tokens) for part in prompt.parts)
             self._parts.append(PartsReport(target.service, target.id, parts))
 
+    def _read_datagrams(self) -> None:
+        """Take all datagrams that have come.
+
+        Datagram endpoints of asyncio take one in each round of the loop. On a
+        busy router more come than that, and what it knows would grow old.
+        """
+        assert self._socket is not None
+        for _ in range(defaults.PEER_READ_LIMIT):
+            try:
+                data, address = self._socket.recvfrom(defaults.PEER_RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # a datagram sent before met a closed port; its peer goes silent.
+                debug("peer.unreachable", error=str(error))
+                continue
+            self.receive(data, address)
+
     def receive(self, data: bytes, address: tuple[str, int]) -> None:
         """Take a datagram of another router."""
         try:
@@ -187,13 +166,17 @@
             peer = self._peers[gossip.sender]
         peer.heard_ms = self._clock.now_ms()
         peer.version = gossip.version
+        peer.has_reach = gossip.has_reach
+        self._router.following.hear(gossip.positions)
         for report in gossip.reports:
             self._apply(gossip.sender, report)
-        self._router.dispatcher.schedule()
 
     # -- taking ------------------------------------------------------------------
 
     def _apply(self, sender: str, report: Report) -> None:
+        if isinstance(report, RecordsReport):
+            self._router.take_records(report)
+            return
         queue = self._router.dispatcher.queues.get(report.service)
         if queue is None:
             return
@@ -203,9 +186,9 @@
                 load = queue.targets.get(report.target)
                 if load is not None:
                     share = Share(report.reading, report.running, report.held)
-                    load.peers[sender] = share
+                    load.set_peer(sender, share)
             case QueueReport():
-                queue.peers_waiting[sender] = report.waiting
+                queue.peers_waiting[sender] = list(report.waiting)
             case CustomerReport():
                 queue.shares.note_peer(
                     sender, report.customer, report.asked, report.taken, now_ms
@@ -218,77 +201,97 @@
     def _drop(self, name: str) -> None:
         for queue in self._router.dispatcher.queues.values():
             queue.peers_waiting.pop(name, None)
+            queue.shares.drop_peer(name)
             for load in queue.targets.values():
-                load.peers.pop(name, None)
+                load.drop_peer(name)
 
     # -- telling -----------------------------------------------------------------
 
+    @property
+    def _scale(self) -> float:
+        """Factor of all intervals, so that what a router hears stays bounded."""
+        return max(1.0, len(self._peers) / defaults.PEER_FANOUT)
+
     async def _tell(self) -> None:
         while True:
-            interval_ms = defaults.PEER_INTERVAL_MS * max(
-                1.0, len(self._peers) / defaults.PEER_FANOUT
-            )
-            await asyncio.sleep(interval_ms / 1000)
+            await asyncio.sleep(defaults.PEER_INTERVAL_MS * self._scale / 1000)
             now_ms = self._clock.now_ms()
             for peer in self._peers.values():
                 if now_ms - peer.heard_ms > defaults.PEER_STALE_MS and peer.heard_ms:
                     peer.heard_ms = 0.0
                     note("peer.silent", peer=peer.name)
                     self._drop(peer.name)
+            self._router.following.check(
+                peer.name
+                for peer in self._peers.values()
+                if peer.heard_ms and peer.has_reach
+            )
             self._send(self._collect(now_ms))
 
+    def pass_on(self, report: RecordsReport) -> None:
+        """Tell peers at once what was read at the store."""
+        self._send([report])
+
     def _collect(self, now_ms: float) -> list[Report]:
         """Return what changed, or everything when a refresh is due."""
-        if now_ms - self._refreshed_ms >= defaults.PEER_REFRESH_MS:
+        is_refresh = (
+            now_ms - self._refreshed_ms >= defaults.PEER_REFRESH_MS * self._scale
+        )
+        if is_refresh:
             self._refreshed_ms = now_ms
-            self._sent = {}
         reports: list[Report] = []
         for name, queue in self._router.dispatcher.queues.items():
-            waiting = QueueReport(name, queue.waiting_by_slack(now_ms))
-            self._add(reports, ("q", name), waiting)
+            waiting = QueueReport(name, tuple(queue.waiting_by_slack(now_ms)))
+            self._add(reports, ("q", name), waiting, is_refresh)
             for target_id, load in queue.targets.items():
                 own = load.own
                 report = TargetReport(
                     name, target_id, int(own.reading), own.running, int(own.held)
                 )
-                self._add(reports, ("t", name, target_id), report)
-            asked, taken = queue.shares.own(now_ms)
-            for customer, units in asked.items():
-                report = CustomerReport(
-                    name, customer, int(units), int(taken.get(customer, 0))
-                )
-                self._add(reports, ("c", name, customer), report)
+                self._add(reports, ("t", name, target_id), report, is_refresh)
+            for customer, asked, taken in queue.shares.own_changes(now_ms, is_refresh):
+                reports.append(CustomerReport(name, customer, int(asked), int(taken)))
         reports += self._parts
         self._parts = []
         return reports
 
-    def _add(self, reports: list[Report], key: tuple[str, ...], report: Report) -> None:
-        if self._sent.get(key) != report:
-            self._sent[key] = report
-            reports.append(report)
+    def _add(
+        self,
+        reports: list[Report],
+        key: tuple[str, ...],
+        report: TargetReport | QueueReport,
+        is_refresh: bool,
+    ) -> None:
+        """Add a report that changed, or that peers may have missed."""
+        told = self._told.get(key)
+        if told is None or told.report != report:
+            self._told[key] = _Told(report)
+        elif is_refresh and not (
+            report.is_idle and told.times >= defaults.PEER_IDLE_REPEATS
+        ):
+            told.times += 1
+        else:
+            return
+        reports.append(report)
 
     def _send(self, reports: list[Report]) -> None:
-        if self._transport is None or not self._peers:
+        if self._socket is None or not self._peers:
             return
-        for data in self._pack(reports):
+        following = self._router.following
+        header = Gossip(
+            self._name,
+            self._router.routing.version,
+            following.positions,
+            following.has_reach,
+            [],
+        )
+        for data in pack(header, reports):
             for peer in self._peers.values():
-                self._transport.sendto(data, peer.address)
-
-    def _pack(self, reports: list[Report]) -> t.Iterator[bytes]:
-        """Yield datagrams of bounded size; one at least, as a heartbeat."""
-        version = self._router.routing.version
-        start = 0
-        while True:
-            size = 0
-            end = start
-            while end < len(reports) and size < defaults.PEER_DATAGRAM_BYTES:
-                size += len(self._encoder.encode(reports[end]))
-                end += 1
-            gossip = Gossip(self._name, version, reports[start:end])
-            yield self._encoder.encode(gossip)
-            start = end
-            if start >= len(reports):
-                return
+                try:
+                    self._socket.sendto(data, peer.address)
+                except OSError as error:
+                    # as good as lost: the next refresh tells it again.
+                    debug("peer.not_sent", peer=peer.name, error=str(error))
 
     # -- configuration -------------------------------------------------------------
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -147,13 +147,15 @@
         chosen = []
         ordered = sorted(self.waiting, key=lambda item: self._order(item, now_ms))
         kept = ordered[defaults.DISPATCH_LOOK_AHEAD :]
+        busy = {load: load.busy_ms for load in usable}
         for item in ordered[: defaults.DISPATCH_LOOK_AHEAD]:
-            load = self._choose(item.call, usable, now_ms)
+            load = self._choose(item.call, busy, now_ms)
             if load is None:
                 kept.append(item)
                 continue
             # counted at once, so that the next choice sees it.
             chosen.append(Dispatched(item.call, load, load.begin(item.call, now_ms)))
+            busy[load] = load.busy_ms
             self.shares.note_taken(item.call.customer, item.call.units, now_ms)
         self.waiting = kept
         return chosen
@@ -195,21 +197,31 @@
     # -- placing -----------------------------------------------------------------
 
     def _choose(
-        self, call: Call, usable: t.Sequence[TargetLoad], now_ms: float
+        self, call: Call, busy: t.Mapping[TargetLoad, float], now_ms: float
     ) -> TargetLoad | None:
         """Return the target to send a call to, ``None`` if it should wait.
 
         A target is looked for by when it can begin, where tokens that it has
         to read again weigh more: they are capacity lost. If the best one has no
         room the call waits for it, unless another one is better by then.
+
+        :param busy: usable targets and how busy each is, ms.
         """
-        loads = [load for load in usable if load.target.id not in call.tried]
+        loads = [load for load in busy if load.target.id not in call.tried]
         if not loads:
             return None
         if call.prompt is None:
             return self._choose_plain(call, loads, now_ms)
-        affinity = call.prompt.affinity
-        best = min(loads, key=lambda load: self._score(call, affinity, load))
+        prompt, affinity = call.prompt, call.prompt.affinity
+
+        def score(load: TargetLoad) -> float:
+            """Return how late and how costly a target is, in ms."""
+            unread = load.cache.unread(prompt) * defaults.REREAD_WEIGHT
+            # equal targets are told apart alike by all routers.
+            rank = _rank(affinity, load.target.id)
+            return busy[load] + unread / load.read_rate + rank * defaults.AFFINITY_MS
+
+        best = min(loads, key=score)
         return best if self._has_engine_room(call, best, now_ms) else None
 
     def _has_any_room(self, load: TargetLoad) -> bool:
@@ -232,17 +244,6 @@
             room *= defaults.SPARE_ROOM
         return room
 
-    def _score(self, call: Call, affinity: str, load: TargetLoad) -> float:
-        """Return how late and how costly a target is, in ms."""
-        unread = load.unread(call) * defaults.REREAD_WEIGHT
-        # equal targets are told apart alike by all routers.
-        rank = _rank(affinity, load.target.id)
-        return (
-            (load.reading + unread) / load.read_rate
-            + load.running * defaults.RUNNING_PENALTY_MS
-            + rank * defaults.AFFINITY_MS
-        )
-
     def _has_engine_room(self, call: Call, load: TargetLoad, now_ms: float) -> bool:
         engine = load.engine
         room = self._room(call, load, now_ms)
@@ -342,16 +343,24 @@
         share again. Callers that are refused together come again one by one.
         """
         wait_ms = max(wait_ms, self.shares.back_ms(call.customer, call.units))
-        spread = 0.5 + stable_hash(call.id) / 2.0**64
-        wanted_s = wait_ms / 1000 * spread
-        low, high = defaults.RETRY_AFTER_MIN_S, defaults.RETRY_AFTER_MAX_S
-        return min(high, max(low * 2 * spread, wanted_s))
+        return retry_after_s(call.id, wait_ms)
 
     def _mean_rate(self) -> float:
         rates = [load.read_rate for load in self.targets.values()]
         return sum(rates) / len(rates) if rates else defaults.INITIAL_READ_RATE
 
 
+def retry_after_s(request_id: str, wait_ms: float = 0.0) -> float:
+    """Return when to come again, s; spread, so that callers come one by one.
+
+    :param wait_ms: when there is likely room.
+    """
+    spread = 0.5 + stable_hash(request_id) / 2.0**64
+    wanted_s = wait_ms / 1000 * spread
+    low, high = defaults.RETRY_AFTER_MIN_S, defaults.RETRY_AFTER_MAX_S
+    return min(high, max(low * 2 * spread, wanted_s))
+
+
 @functools.lru_cache(maxsize=defaults.RANK_CACHE)
 def _rank(affinity: str, target_id: str) -> float:
     """Return the place of a target in a part's order of targets, 0 to 1."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -5,6 +5,7 @@
 import os
 
 import attrs
+import msgspec
 
 from snipedeal.clock import Clock
 from snipedeal.exceptions import RecordError
@@ -12,7 +13,9 @@
 from snipedeal_direct import defaults
 from snipedeal_direct.dispatching import Dispatcher
 from snipedeal_direct.egress import Pool
+from snipedeal_direct.following import Following
 from snipedeal_direct.forwarding import Forwarder
+from snipedeal_direct.gossip import RecordsReport
 from snipedeal_direct.ingress import Exchange
 from snipedeal_direct.ingress import IngressServer
 from snipedeal_direct.journal import Journal
@@ -51,12 +54,17 @@
         )
         self.dispatcher = Dispatcher(settings, self.clock)
         self.dispatcher.on_new_start = self._on_new_start
+        self.following = Following(settings.name, self.clock.now_ms)
         self.is_store_away = True
         self.stopping_since_ms = 0.0
         self._journal = journal
         self._document = b""
         events = SourceEvents(
-            self._on_table, self._on_target, self._on_peer, self._on_reach
+            self._on_table,
+            self._on_target,
+            self._on_peer,
+            self._on_reach,
+            self._on_records,
         )
         self._source = _find_source(settings)(self, events)
         self.peers = Peers(self)
@@ -192,7 +200,22 @@
     def _on_peer(self, name: str, address: str | None) -> None:
         self.peers.apply_peer(name, address)
 
+    def take_records(self, report: RecordsReport) -> None:
+        """Take what a peer has read at the store."""
+        if report.records:
+            self._source.take_records(report)
+        else:
+            self.following.hear_unpassed(report.feed, report.end)
+
+    def _on_records(self, report: RecordsReport) -> None:
+        if self.following.is_reader:
+            size = sum(len(value or b"") for _, value in report.records)
+            if size > defaults.PEER_DATAGRAM_BYTES:
+                report = msgspec.structs.replace(report, records=())
+            self.peers.pass_on(report)
+
     def _on_reach(self, is_reached: bool, detail: str) -> None:
+        self.following.has_reach = is_reached
         if self.is_store_away == (not is_reached):
             return
         self.is_store_away = not is_reached
--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -8,8 +8,6 @@
 
 #: Parts of a share by which customers are ordered.
 _STAGES = 4
-#: Peers repeat everything several times within this.
-_PEER_STALE_MS = 2_000
 
 
 def water_level(demands: t.Iterable[float], capacity: float) -> float:
@@ -50,6 +48,10 @@
         value, since_ms = self._sums.get(customer, (0.0, now_ms))
         return value * math.exp((since_ms - now_ms) / self.fade_ms)
 
+    def set(self, customer: str, units: float, now_ms: float) -> None:
+        """Replace a customer's sum."""
+        self._sums[customer] = (units, now_ms)
+
     def all(self, now_ms: float) -> dict[str, float]:
         """Return the sums of all customers; forget those that have faded."""
         sums = {name: self.get(name, now_ms) for name in self._sums}
@@ -73,7 +75,8 @@
     window_ms: float
     _asked: FadingSums = attrs.field(init=False)
     _given: FadingSums = attrs.field(init=False)
-    _peers: dict[tuple[str, str], tuple[float, float, float]] = attrs.Factory(dict)
+    _changed: set[str] = attrs.Factory(set)
+    _peers: dict[str, tuple[FadingSums, FadingSums]] = attrs.Factory(dict)
     _level: float = float("inf")
     _even_split: float = float("inf")
     _taken: dict[str, float] = attrs.Factory(dict)
@@ -90,36 +93,55 @@
     def note_asked(self, customer: str, units: float, now_ms: float) -> None:
         """Note what a request asks for."""
         self._asked.add(customer, units, now_ms)
+        self._changed.add(customer)
 
     def note_taken(self, customer: str, units: float, now_ms: float) -> None:
         """Note what a customer was given."""
         self._given.add(customer, units, now_ms)
+        self._changed.add(customer)
         self._taken[customer] = self._taken.get(customer, 0.0) + units
 
-    def own(self, now_ms: float) -> tuple[dict[str, float], dict[str, float]]:
-        """Return what customers asked and were given here."""
-        return self._asked.all(now_ms), self._given.all(now_ms)
+    def own_changes(
+        self, now_ms: float, is_whole: bool
+    ) -> list[tuple[str, float, float]]:
+        """Return what customers asked and were given here.
+
+        :param is_whole: all customers, instead of those that asked or were
+            given something since the last call.
+        """
+        asked, given = self._asked.all(now_ms), self._given.all(now_ms)
+        names = asked.keys() | given.keys() if is_whole else self._changed
+        changes = [
+            (name, asked.get(name, 0.0), given.get(name, 0.0)) for name in sorted(names)
+        ]
+        self._changed = set()
+        return changes
 
     def note_peer(
         self, peer: str, customer: str, asked: float, taken: float, now_ms: float
     ) -> None:
         """Take what a customer asked and was given at another router."""
-        self._peers[peer, customer] = (now_ms, asked, taken)
+        sums = self._peers.get(peer)
+        if sums is None:
+            sums = FadingSums(self.window_ms), FadingSums(self.window_ms)
+            self._peers[peer] = sums
+        sums[0].set(customer, asked, now_ms)
+        sums[1].set(customer, taken, now_ms)
+
+    def drop_peer(self, peer: str) -> None:
+        """Forget what customers asked and were given at another router."""
+        self._peers.pop(peer, None)
 
     def update(self, capacity: float, now_ms: float) -> None:
         """Compute the level anew.
 
         :param capacity: units that all targets produce in a window.
         """
-        asked, taken = self.own(now_ms)
-        demands = collections.Counter(asked)
-        total = collections.Counter(taken)
-        for key, (heard_ms, peer_asked, peer_taken) in list(self._peers.items()):
-            if now_ms - heard_ms > _PEER_STALE_MS:
-                del self._peers[key]
-                continue
-            demands[key[1]] += peer_asked
-            total[key[1]] += peer_taken
+        demands = collections.Counter(self._asked.all(now_ms))
+        total = collections.Counter(self._given.all(now_ms))
+        for asked, given in self._peers.values():
+            demands.update(asked.all(now_ms))
+            total.update(given.all(now_ms))
         self._taken = dict(total)
         self._level = water_level(demands.values(), capacity)
         scarce = self._level < float("inf")
--- a/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
@@ -29,6 +29,10 @@
 from snipedeal_standins.replica import ReplicaSpec
 
 _START_LIMIT_S = 30
+#: Kinds of requests that may run once, and kinds that are answered by a stream.
+ONCE_KINDS = ("change", "chat")
+STREAM_KINDS = ("chat", "draft")
+STREAM_EVENTS = 5
 
 
 @attrs.define(eq=False)
@@ -156,14 +160,7 @@
 
     def check_runs(self) -> None:
         """Compare what ran with what callers were told."""
-        runs = collections.Counter(
-            run.id for replica in self.fleet.replicas for run in replica.runs
-        )
-        for request_id, times in runs.items():
-            if request_id in self.refused:
-                self.wrong.append(f"{request_id} was refused as not run, and ran")
-            if times > 1 and request_id.startswith(("change", "chat")):
-                self.wrong.append(f"{request_id} ran {times} times")
+        self.wrong += check_runs(self.fleet.replicas, self.refused)
 
     async def _call(self, requests: int) -> None:
         link: CallerLink | None = None
@@ -191,13 +188,8 @@
 
     async def _ask(self, link: CallerLink, kind: str, request_id: str) -> Answer:
         headers = {}
-        if kind in ("chat", "draft"):
-            shared = self.chance.randrange(8)
-            headers = {
-                "Snipedeal-Model": "m",
-                "Snipedeal-Token-Usage": "1200,20",
-                "Snipedeal-Prompt-Prefix": f"aa:200,s{shared}:600,{request_id}:400",
-            }
+        if kind in STREAM_KINDS:
+            headers = prompt_headers(request_id, self.chance.randrange(8))
         method = "GET" if kind == "lookup" else "POST"
         return await link.ask(method, f"/{kind}/x", request_id, headers)
 
@@ -210,17 +202,46 @@
             self.refused.add(request_id)
         if answer.status != 200:
             return
-        signature = answer.headers.get("snipedeal-replica-signature", "")
-        if not signature.endswith(f".{request_id}"):
-            self.wrong.append(f"{request_id} got the answer of {signature}")
-        if kind in ("chat", "draft"):
-            numbers = [
-                int(line[3:])
-                for line in answer.body.split(b"\n")
-                if line.startswith(b"id:")
-            ]
-            if numbers != list(range(1, len(numbers) + 1)) or len(numbers) < 5:
-                self.wrong.append(f"{request_id} has the events {numbers}")
+        self.wrong += check_answer(kind, request_id, answer)
+
+
+def check_runs(replicas: t.Iterable[Replica], refused: t.Container[str]) -> list[str]:
+    """Compare what ran with what callers were told; return what is wrong.
+
+    :param refused: requests that were answered as not run.
+    """
+    wrong = []
+    runs = collections.Counter(run.id for replica in replicas for run in replica.runs)
+    for request_id, times in runs.items():
+        if request_id in refused:
+            wrong.append(f"{request_id} was refused as not run, and ran")
+        if times > 1 and request_id.startswith(ONCE_KINDS):
+            wrong.append(f"{request_id} ran {times} times")
+    return wrong
+
+
+def check_answer(kind: str, request_id: str, answer: Answer) -> list[str]:
+    """Compare a whole success with what was asked; return what is wrong."""
+    signature = answer.headers.get("snipedeal-replica-signature", "")
+    if not signature.endswith(f".{request_id}"):
+        return [f"{request_id} got the answer of {signature}"]
+    if kind not in STREAM_KINDS:
+        return []
+    numbers = [
+        int(line[3:]) for line in answer.body.split(b"\n") if line.startswith(b"id:")
+    ]
+    if numbers != list(range(1, len(numbers) + 1)) or len(numbers) < STREAM_EVENTS:
+        return [f"{request_id} has the events {numbers}"]
+    return []
+
+
+def prompt_headers(request_id: str, shared: int) -> dict[str, str]:
+    """Return the headers that describe a prompt with some shared part."""
+    return {
+        "Snipedeal-Model": "m",
+        "Snipedeal-Token-Usage": "1200,20",
+        "Snipedeal-Prompt-Prefix": f"aa:200,s{shared}:600,{request_id}:400",
+    }
 
 
 def specs() -> list[ReplicaSpec]:
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,59 @@
+"""A process that does not keep up sends new calls to other routers."""
+
+import asyncio
+
+from snipedeal_direct import defaults
+from snipedeal_direct.dispatching import pause_after
+from snipedeal_direct.overload import LoopLag
+from snipedeal_standins.edge import Edge
+from snipedeal_standins.replica import ReplicaSpec
+
+
+def test_lag_is_believed_at_once_and_forgotten_gradually():
+    lag = LoopLag()
+    lag.note(defaults.LAG_LIMIT_MS + 1)
+    assert lag.is_overloaded
+    lag.note(0.0)
+    assert not lag.is_overloaded
+    lag.note(4_000.0)
+    for _ in range(5):
+        lag.note(0.0)
+        assert lag.is_overloaded
+    for _ in range(20):
+        lag.note(0.0)
+    assert not lag.is_overloaded
+
+
+def test_early_timers_are_no_lag():
+    lag = LoopLag()
+    lag.note(-5.0)
+    assert lag.ms == 0.0
+
+
+def test_looks_leave_the_loop_to_answers():
+    assert pause_after(0.0) == defaults.DISPATCH_DELAY_MS
+    for look_ms in (1.0, 2.0, 4.0):
+        share = look_ms / (look_ms + pause_after(look_ms))
+        assert share <= defaults.DISPATCH_SHARE
+    assert pause_after(1_000.0) == defaults.DISPATCH_TICK_MS
+
+
+def test_call_at_a_late_router_is_refused_and_does_not_run():
+    async def play():
+        edge = Edge()
+        try:
+            await edge.start([ReplicaSpec("desk-0", "desk")])
+            router = edge.routers[0]
+            router.dispatcher.lag.note(1e30)
+            answer = await edge.link().ask("POST", "/change/x", "c1")
+            router.dispatcher.lag._lag_ms = 0.0
+            again = await edge.link().ask("POST", "/change/x", "c2")
+            return answer, again, [run.id for run in edge.runs()]
+        finally:
+            await edge.close()
+
+    answer, again, runs = asyncio.run(play())
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert again.status == 200
+    assert runs == ["c2"]
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -215,10 +215,10 @@
     queue = make_queue(targets=1)
     load = queue.targets["t0"]
     share = type(load.own)(reading=100_000.0, running=3, held=100_000.0)
-    load.peers["router-b"] = share
+    load.set_peer("router-b", share)
     queue.add(make_call(1, 0.0, aim_ms=5000.0), 0.0)
     assert queue.dispatch(0.0) == []
-    load.peers["router-b"] = type(load.own)()
+    load.set_peer("router-b", type(load.own)())
     assert len(queue.dispatch(0.0)) == 1
 
 
