What targets really serve is shared alike; idle callers make room for new ones

Change: a second level, from what all targets were given lately and some growth, orders what goes beyond shares, with less room for calls beyond that as well. Connections of callers have a limit by the process's descriptors: above three quarters answers end their connections, above the limit the one that is idle longest is closed.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -9,6 +9,15 @@
 #: Backlog of connections that are not accepted yet; the kernel's usual cap.
 ACCEPT_BACKLOG = 1_024
 
+#: Part of a process's descriptors that callers' connections may take; the rest is
+#: for connections to targets, files and peers.
+CALLER_DESCRIPTORS = 0.65
+#: Connections to each of the addresses for operators and peers; all routers may
+#: ask for a configuration at the same time.
+OBSERVER_CONNECTIONS = 400
+#: Share of the connections above which answers end theirs.
+CROWDED_SHARE = 0.75
+
 # -- connections to targets ---------------------------------------------------
 #: Longest wait for a new connection, ms; some hundred round trips inside a
 #: region, and below the first retransmission of a lost opening packet.
@@ -88,6 +97,8 @@
 IDLE_SHARE = 0.06
 #: Part of a target's room that calls beyond their customer's share may use.
 SPARE_ROOM = 0.6
+#: The same for calls beyond the share of what targets really serve.
+BEYOND_ROOM = 0.3
 #: Share of an engine's memory that running requests may fill; more makes
 #: engines preempt requests.
 MEMORY_SHARE = 0.9
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -478,9 +478,9 @@
             age_ms=round(self._clock.now_ms() - call.arrived_ms) if call else 0,
             tokens=call.prompt.tokens if call and call.prompt else 0,
             output=call.prompt.output_tokens if call and call.prompt else 0,
-            is_over=queue.shares.is_over(call.customer, call.units)
+            tier=queue.shares.tier(call.customer, call.units).name.lower()
             if queue and call
-            else False,
+            else "",
             level=round(min(queue.shares.level, 1e9)) if queue else 0,
             waiting=len(queue.waiting) if queue else 0,
             reading=round(sum(load.reading for load in queue.targets.values()))
--- a/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
@@ -10,6 +10,7 @@
 
 from snipedeal.clock import Clock
 from snipedeal_direct import defaults
+from snipedeal_direct.journal import warn
 from snipedeal_direct.model import CallerLimits
 from snipedeal_direct.model import Headers
 
@@ -191,10 +192,12 @@
         self._transport.set_write_buffer_limits(defaults.CALLER_BUFFER_BYTES)
         self._server.connections.add(self)
         self._wait_for_request()
+        self._server.make_room()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell whoever works for this caller that it has left."""
         self._server.connections.discard(self)
+        self._server.idle.pop(self, None)
         self.is_lost = True
         self._can_write.set()
         self._stop_timer()
@@ -217,6 +220,7 @@
             return
         if not self._began_ms:
             self._began_ms = self._server.clock.now_ms() or 1
+            self._server.idle.pop(self, None)
             self._set_timer(self._server.limits().header_timeout_ms, self._too_slow)
         if not self._has_headers:
             self._header_bytes += len(data)
@@ -310,7 +314,12 @@
 
     def closes_after(self, request: Request) -> bool:
         """Whether the connection closes after the answer to a request."""
-        return self._server.is_closing or not request.keeps_alive or self._is_broken
+        return (
+            self._server.is_closing
+            or self._server.is_crowded
+            or not request.keeps_alive
+            or self._is_broken
+        )
 
     def end_exchange(self, closes: bool) -> None:
         """Go on to the next request, or close."""
@@ -359,6 +368,7 @@
         self._in_feed = 0
 
     def _wait_for_request(self) -> None:
+        self._server.idle[self] = None
         self._set_timer(self._server.limits().idle_timeout_ms, self._close)
 
     def _too_slow(self) -> None:
@@ -398,6 +408,7 @@
     :param on_bad_request: called with the status and the reason where
         something is refused that is no acceptable request.
     :param limits: returns the bounds in force.
+    :param most_connections: connections that may be open at once.
     """
 
     def __init__(
@@ -406,14 +417,42 @@
         on_request: t.Callable[[Exchange], None],
         on_bad_request: t.Callable[[int, str], None],
         limits: t.Callable[[], CallerLimits],
+        most_connections: int,
     ) -> None:
+        self.most_connections = most_connections
         self.clock = clock
         self.on_request = on_request
         self.on_bad_request = on_bad_request
         self.limits = limits
         self.is_closing = False
         self.connections: set[CallerConnection] = set()
+        # in the order in which they became idle.
+        self.idle: dict[CallerConnection, None] = {}
         self._server: asyncio.Server | None = None
+        self._was_full = False
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether connections should not be kept after their answers."""
+        limit = self.most_connections * defaults.CROWDED_SHARE
+        return len(self.connections) > limit
+
+    def make_room(self) -> None:
+        """Close the connection that is idle longest, if there are too many.
+
+        Without descriptors nobody could connect any more. Answers the load of a
+        customer whose callers open more connections than the process may have.
+        """
+        if len(self.connections) <= self.most_connections:
+            self._was_full = self._was_full and self.is_crowded
+            return
+        # the newest one is idle as well: it has asked nothing yet.
+        oldest = next(iter(self.idle), None)
+        if oldest is not None:
+            oldest.close_if_idle()
+        if not self._was_full:
+            self._was_full = True
+            warn("connections.full", open=len(self.connections), idle=len(self.idle))
 
     async def start(self, host: str, port: int) -> None:
         """Begin to listen."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -20,6 +20,13 @@
 from snipedeal_direct.model import Target
 from snipedeal_direct.model import TargetState
 from snipedeal_direct.shares import Shares
+from snipedeal_direct.shares import Tier
+
+_TIER_ROOM = {
+    Tier.WITHIN: 1.0,
+    Tier.SPARE: defaults.SPARE_ROOM,
+    Tier.BEYOND: defaults.BEYOND_ROOM,
+}
 
 
 @attrs.frozen
@@ -120,8 +127,8 @@
         return sums
 
     def _slack_class(self, item: Waiting, now_ms: float) -> int:
-        is_over, is_late, _, latest_ms = self._order(item, now_ms)
-        if is_over or is_late:
+        tier, is_late, _, latest_ms = self._order(item, now_ms)
+        if tier is not Tier.WITHIN or is_late:
             return len(defaults.SLACK_CLASSES_MS)
         slack_ms = latest_ms - now_ms
         return bisect.bisect_left(defaults.SLACK_CLASSES_MS, slack_ms)
@@ -175,7 +182,7 @@
 
     # -- order -----------------------------------------------------------------
 
-    def _order(self, item: Waiting, now_ms: float) -> tuple[bool, bool, int, float]:
+    def _order(self, item: Waiting, now_ms: float) -> tuple[Tier, bool, int, float]:
         """Return the place of a call in the queue.
 
         Customers within their shares go before those beyond, calls that can be
@@ -183,9 +190,9 @@
         others, and then the call that must start first.
         """
         call = item.call
-        is_over = self.shares.is_over(call.customer, call.units)
+        tier = self.shares.tier(call.customer, call.units)
         stage = self.shares.stage(call.customer)
-        return is_over, now_ms > item.latest_ms, stage, item.latest_ms
+        return tier, now_ms > item.latest_ms, stage, item.latest_ms
 
     def _own_reading_ms(self, call: Call) -> float:
         if call.prompt is None:
@@ -240,9 +247,7 @@
         to calls that may come next.
         """
         room = load.condition.room(now_ms)
-        if self.shares.is_over(call.customer, call.units):
-            room *= defaults.SPARE_ROOM
-        return room
+        return room * _TIER_ROOM[self.shares.tier(call.customer, call.units)]
 
     def _has_engine_room(self, call: Call, load: TargetLoad, now_ms: float) -> bool:
         engine = load.engine
@@ -255,9 +260,9 @@
         if load.running == 0:
             return True
         reading = load.reading
-        if self.shares.is_over(call.customer, call.units) and (
-            reading > 0 or load.running >= slots * defaults.IDLE_SHARE
-        ):
+        tier = self.shares.tier(call.customer, call.units)
+        is_idle = reading <= 0 and load.running < slots * defaults.IDLE_SHARE
+        if tier is not Tier.WITHIN and not is_idle:
             # its own prompt would hold up the next call as well.
             reading += load.unread(call)
         if reading > defaults.ENGINE_BACKLOG_MS * load.read_rate * room:
@@ -308,8 +313,8 @@
         self, item: Waiting, wait_ms: float, now_ms: float
     ) -> Refusal | None:
         call = item.call
-        is_over = self.shares.is_over(call.customer, call.units)
-        aims = defaults.SPARE_LIMIT_AIMS if is_over else defaults.LATE_LIMIT_AIMS
+        is_within = self.shares.tier(call.customer, call.units) is Tier.WITHIN
+        aims = defaults.LATE_LIMIT_AIMS if is_within else defaults.SPARE_LIMIT_AIMS
         limit_ms = min(
             call.arrived_ms + call.route.target_latency_ms * aims,
             call.give_up_ms - defaults.FINAL_ANSWER_RESERVE_MS,
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -71,10 +71,20 @@
         self.dispatcher.on_sent = self.peers.note_sent
         self.forwarder = Forwarder(self)
         self._ingress = IngressServer(
-            self.clock, self.forwarder.take, self._on_bad_request, self._limits
+            self.clock,
+            self.forwarder.take,
+            self._on_bad_request,
+            self._limits,
+            int(settings.max_descriptors * defaults.CALLER_DESCRIPTORS),
         )
         self._observed = [
-            IngressServer(self.clock, handle, self._on_bad_request, CallerLimits)
+            IngressServer(
+                self.clock,
+                handle,
+                self._on_bad_request,
+                CallerLimits,
+                defaults.OBSERVER_CONNECTIONS,
+            )
             for handle in (self._tell_ready, self._tell_metrics, self._tell_config)
         ]
         self._tasks: list[asyncio.Task[None]] = []
--- a/packages/snipedeal-direct/src/snipedeal_direct/settings.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/settings.py
@@ -75,6 +75,7 @@
     :param ready: ``host:port`` of the readiness question.
     :param metrics: ``host:port`` of the metrics.
     :param peer: ``host:port`` at which other routers reach it, over TCP and UDP.
+    :param max_descriptors: files and sockets that the process may open.
     """
 
     name: str
@@ -86,3 +87,6 @@
     source: SourceSettings = attrs.field()
     bounds: BoundSettings = attrs.field()
     log_level: str = attrs.field(default="info", validator=one_of(*level_names()))
+    max_descriptors: int = attrs.field(
+        default=3_000, validator=in_range(200, 10_000_000)
+    )
--- a/tests/test_direct_settings.py
+++ b/tests/test_direct_settings.py
@@ -22,6 +22,7 @@
     "listen.ready": "10.1.0.33:8780",
     "internalPorts.0": "7400",
     "platform.address": "10.200.1.7:8781",
+    "limits.maxFds": 4100,
     "bounds.graceS": 8,
     "bounds.retryBudgetRatio": 0.2,
     "bounds.budgetWindowS": 10,
@@ -48,6 +49,7 @@
     settings = load_settings(path, DirectSettings)
     assert settings.name == "edge-dar-a-1"
     assert settings.peer == "10.1.0.33:7400"
+    assert settings.max_descriptors == 4100
     assert settings.source.address == "10.200.1.7:8781"
     assert settings.bounds.retry_slack == 58
     assert settings.bounds.grace_ms == 8000
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -15,6 +15,7 @@
 from snipedeal_direct.model import TargetState
 from snipedeal_direct.queueing import ServiceQueue
 from snipedeal_direct.shares import Shares
+from snipedeal_direct.shares import Tier
 from snipedeal_direct.shares import water_level
 
 RATE = 50.0
@@ -156,6 +157,25 @@
     assert played.in_time(calls) >= 0.2 * len(calls)
 
 
+def test_what_targets_serve_beyond_the_stated_capacity_is_shared_alike():
+    # targets serve about three times what is stated; one customer asks for most of
+    # it, and four for more than their shares of what is stated.
+    queue = make_queue(targets=2)
+    hot = [make_call(n, n * 4.0, tokens=4000, customer="hot") for n in range(2000)]
+    others = [
+        make_call(10_000 + n, n * 20.0, tokens=4000, customer=f"c{n % 4}")
+        for n in range(400)
+    ]
+    played = play(queue, hot + others, capacity=70_000.0)
+    begun = {}
+    for call in hot + others:
+        if call.id in played.first_ms:
+            begun[call.customer] = begun.get(call.customer, 0.0) + call.units
+    asked = sum(call.units for call in others) / 4
+    for n in range(4):
+        assert begun[f"c{n}"] >= 0.5 * min(begun["hot"], asked)
+
+
 def test_what_cannot_be_served_is_refused_at_once():
     queue = make_queue(targets=1)
     calls = [make_call(n, n * 10.0, tokens=5000) for n in range(300)]
@@ -235,12 +255,12 @@
     shares.note_asked("hot", 60_000.0, 0.0)
     shares.note_asked("other", 60_000.0, 0.0)
     shares.update(40_000.0, 0.0)
-    assert shares.is_over("hot", 5_000.0)
+    assert shares.tier("hot", 5_000.0) is not Tier.WITHIN
     back_ms = shares.back_ms("hot", 5_000.0)
     assert 0 < back_ms < 4000
     # nothing more was given meanwhile, and demand is as it was.
     shares.note_asked("hot", 60_000.0, back_ms)
     shares.note_asked("other", 60_000.0, back_ms)
     shares.update(40_000.0, back_ms + 1)
-    assert not shares.is_over("hot", 5_000.0)
+    assert shares.tier("hot", 5_000.0) is Tier.WITHIN
     assert shares.back_ms("other", 5_000.0) == 0.0
