Room beyond shares is held for customers that had less, at any router

Change: routers tell the lowest stage of a customer that goes short with them. Calls beyond a share wait where their customer was given over 1.25 times as much, unless the target runs little. Log lines of sent calls name the shared part.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -95,10 +95,16 @@
 #: An engine that reads nothing and runs less than this share of its slots is
 #: idle enough for any call.
 IDLE_SHARE = 0.06
+#: The same for calls that are held back for a customer that had much less.
+HELD_IDLE_SHARE = 0.2
 #: Part of a target's room that calls beyond their customer's share may use.
 SPARE_ROOM = 0.6
-#: The same for calls beyond the share of what targets really serve.
-BEYOND_ROOM = 0.3
+#: A customer goes short for this long after a call of it was refused, ms; its
+#: callers come again within about that time.
+SHORT_MS = 1_000.0
+#: Ratio of what two customers were given above which the one that had more is held
+#: back while the other goes short; well below two, at which it would stand out.
+HELD_RATIO = 1.25
 #: Share of an engine's memory that running requests may fill; more makes
 #: engines preempt requests.
 MEMORY_SHARE = 0.9
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -467,6 +467,8 @@
         service = call.service if call else ""
         self._metrics.answers.labels(service, str(refusal.status), refusal.reason).inc()
         queue = self._router.dispatcher.queues.get(service)
+        if queue and call and call.prompt:
+            queue.note_short(call.customer, self._clock.now_ms())
         note(
             "request.refused",
             request=call.id if call else request_id,
@@ -478,9 +480,9 @@
             age_ms=round(self._clock.now_ms() - call.arrived_ms) if call else 0,
             tokens=call.prompt.tokens if call and call.prompt else 0,
             output=call.prompt.output_tokens if call and call.prompt else 0,
-            tier=queue.shares.tier(call.customer, call.units).name.lower()
+            is_over=queue.shares.is_over(call.customer, call.units)
             if queue and call
-            else "",
+            else False,
             level=round(min(queue.shares.level, 1e9)) if queue else 0,
             waiting=len(queue.waiting) if queue else 0,
             reading=round(sum(load.reading for load in queue.targets.values()))
@@ -532,6 +534,7 @@
             waited_ms=round(waited_ms),
             tokens=call.prompt.tokens if call.prompt else 0,
             output=call.prompt.output_tokens if call.prompt else 0,
+            shared_part=call.prompt.affinity if call.prompt else "",
             unread=round(dispatched.sent.unread),
             ahead=round(dispatched.sent.ahead),
             running=load.running,
--- a/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from snipedeal_direct import defaults
+from snipedeal_direct.queueing import NOBODY_SHORT
 
 
 class TargetReport(msgspec.Struct, array_like=True, tag="t", frozen=True):
@@ -23,15 +24,20 @@
 
 
 class QueueReport(msgspec.Struct, array_like=True, tag="q", frozen=True):
-    """Prompt tokens that wait at a router, by when they must start."""
+    """What waits at a router.
+
+    :param waiting: prompt tokens, by when they must start.
+    :param short_stage: lowest stage of a customer that goes short there.
+    """
 
     service: str
     waiting: tuple[int, ...]
+    short_stage: int
 
     @property
     def is_idle(self) -> bool:
         """Whether nothing waits."""
-        return not any(self.waiting)
+        return not any(self.waiting) and self.short_stage == NOBODY_SHORT
 
 
 class CustomerReport(msgspec.Struct, array_like=True, tag="c", frozen=True):
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -189,6 +189,7 @@
                     load.set_peer(sender, share)
             case QueueReport():
                 queue.peers_waiting[sender] = list(report.waiting)
+                queue.peers_short_stage[sender] = report.short_stage
             case CustomerReport():
                 queue.shares.note_peer(
                     sender, report.customer, report.asked, report.taken, now_ms
@@ -201,6 +202,7 @@
     def _drop(self, name: str) -> None:
         for queue in self._router.dispatcher.queues.values():
             queue.peers_waiting.pop(name, None)
+            queue.peers_short_stage.pop(name, None)
             queue.shares.drop_peer(name)
             for load in queue.targets.values():
                 load.drop_peer(name)
@@ -241,7 +243,11 @@
             self._refreshed_ms = now_ms
         reports: list[Report] = []
         for name, queue in self._router.dispatcher.queues.items():
-            waiting = QueueReport(name, tuple(queue.waiting_by_slack(now_ms)))
+            waiting = QueueReport(
+                name,
+                tuple(queue.waiting_by_slack(now_ms)),
+                queue.short_stage(now_ms),
+            )
             self._add(reports, ("q", name), waiting, is_refresh)
             for target_id, load in queue.targets.items():
                 own = load.own
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -19,14 +19,11 @@
 from snipedeal_direct.model import EngineLimits
 from snipedeal_direct.model import Target
 from snipedeal_direct.model import TargetState
+from snipedeal_direct.shares import SHARE_STAGE
 from snipedeal_direct.shares import Shares
-from snipedeal_direct.shares import Tier
 
-_TIER_ROOM = {
-    Tier.WITHIN: 1.0,
-    Tier.SPARE: defaults.SPARE_ROOM,
-    Tier.BEYOND: defaults.BEYOND_ROOM,
-}
+#: A stage above that of every customer.
+NOBODY_SHORT = 1_000_000
 
 
 @attrs.frozen
@@ -78,6 +75,8 @@
     targets: dict[str, TargetLoad] = attrs.Factory(dict)
     waiting: list[Waiting] = attrs.Factory(list)
     peers_waiting: dict[str, list[int]] = attrs.Factory(dict)
+    peers_short_stage: dict[str, int] = attrs.Factory(dict)
+    _short_ms: dict[str, float] = attrs.Factory(dict)
 
     # -- targets ---------------------------------------------------------------
 
@@ -127,12 +126,47 @@
         return sums
 
     def _slack_class(self, item: Waiting, now_ms: float) -> int:
-        tier, is_late, _, latest_ms = self._order(item, now_ms)
-        if tier is not Tier.WITHIN or is_late:
+        is_over, is_late, _, latest_ms = self._order(item, now_ms)
+        if is_over or is_late:
             return len(defaults.SLACK_CLASSES_MS)
         slack_ms = latest_ms - now_ms
         return bisect.bisect_left(defaults.SLACK_CLASSES_MS, slack_ms)
 
+    def note_short(self, customer: str, now_ms: float) -> None:
+        """Note that a customer's call was refused for want of room."""
+        self._short_ms[customer] = now_ms
+
+    def short_stage(self, now_ms: float) -> int:
+        """Return the lowest stage of a customer that goes short here.
+
+        Such customers have calls that wait beyond their shares, or were refused a
+        moment ago.
+
+        :return: :data:`NOBODY_SHORT` where there is none.
+        """
+        customers = {
+            item.call.customer for item in self.waiting if self._is_over(item.call)
+        }
+        for customer, since_ms in list(self._short_ms.items()):
+            if now_ms - since_ms <= defaults.SHORT_MS:
+                customers.add(customer)
+            else:
+                del self._short_ms[customer]
+        return min(map(self.shares.stage, customers), default=NOBODY_SHORT)
+
+    def _is_held(self, call: Call, now_ms: float) -> bool:
+        """Whether a customer that had much less goes short, at any router.
+
+        Answers the load of customers beyond their shares of which one comes to a
+        busy router: room would go to those whose routers look first.
+        """
+        stages = [self.short_stage(now_ms), *self.peers_short_stage.values()]
+        lowest = max(min(stages), SHARE_STAGE)
+        return self.shares.stage(call.customer) > lowest * defaults.HELD_RATIO
+
+    def _is_over(self, call: Call) -> bool:
+        return self.shares.is_over(call.customer, call.units)
+
     def add(self, call: Call, now_ms: float) -> Refusal | None:
         """Queue a call, or refuse it at once where it can't be served."""
         reading_ms = self._own_reading_ms(call)
@@ -182,7 +216,7 @@
 
     # -- order -----------------------------------------------------------------
 
-    def _order(self, item: Waiting, now_ms: float) -> tuple[Tier, bool, int, float]:
+    def _order(self, item: Waiting, now_ms: float) -> tuple[bool, bool, int, float]:
         """Return the place of a call in the queue.
 
         Customers within their shares go before those beyond, calls that can be
@@ -190,9 +224,8 @@
         others, and then the call that must start first.
         """
         call = item.call
-        tier = self.shares.tier(call.customer, call.units)
         stage = self.shares.stage(call.customer)
-        return tier, now_ms > item.latest_ms, stage, item.latest_ms
+        return self._is_over(call), now_ms > item.latest_ms, stage, item.latest_ms
 
     def _own_reading_ms(self, call: Call) -> float:
         if call.prompt is None:
@@ -247,7 +280,9 @@
         to calls that may come next.
         """
         room = load.condition.room(now_ms)
-        return room * _TIER_ROOM[self.shares.tier(call.customer, call.units)]
+        if self._is_over(call):
+            room *= defaults.SPARE_ROOM
+        return room
 
     def _has_engine_room(self, call: Call, load: TargetLoad, now_ms: float) -> bool:
         engine = load.engine
@@ -260,9 +295,10 @@
         if load.running == 0:
             return True
         reading = load.reading
-        tier = self.shares.tier(call.customer, call.units)
-        is_idle = reading <= 0 and load.running < slots * defaults.IDLE_SHARE
-        if tier is not Tier.WITHIN and not is_idle:
+        used = load.running / slots if reading <= 0 else 1.0
+        if self._is_over(call) and used >= defaults.IDLE_SHARE:
+            if used >= defaults.HELD_IDLE_SHARE and self._is_held(call, now_ms):
+                return False
             # its own prompt would hold up the next call as well.
             reading += load.unread(call)
         if reading > defaults.ENGINE_BACKLOG_MS * load.read_rate * room:
@@ -313,8 +349,8 @@
         self, item: Waiting, wait_ms: float, now_ms: float
     ) -> Refusal | None:
         call = item.call
-        is_within = self.shares.tier(call.customer, call.units) is Tier.WITHIN
-        aims = defaults.LATE_LIMIT_AIMS if is_within else defaults.SPARE_LIMIT_AIMS
+        is_over = self._is_over(call)
+        aims = defaults.SPARE_LIMIT_AIMS if is_over else defaults.LATE_LIMIT_AIMS
         limit_ms = min(
             call.arrived_ms + call.route.target_latency_ms * aims,
             call.give_up_ms - defaults.FINAL_ANSWER_RESERVE_MS,
--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -1,31 +1,15 @@
 """Customers' max-min shares of the fleet's capacity over a recent time."""
 
 import collections
-import enum
 import math
 import typing as t
 
 import attrs
 
-#: Parts of a share by which customers are ordered.
-_STAGES = 4
+#: Parts of a share by which customers are ordered; the stage of a whole share.
+SHARE_STAGE = 4
 #: Stages beyond which customers are not told apart.
 _MOST_STAGES = 10_000
-#: What targets may be given beyond what they were given lately, as a factor; lets
-#: the estimate of their real capacity grow.
-_GROWTH = 1.15
-
-
-class Tier(enum.IntEnum):
-    """Where some more units would take a customer.
-
-    ``WITHIN`` its share of the stated capacity, ``SPARE`` beyond that and within
-    its share of what targets really serve, ``BEYOND`` both.
-    """
-
-    WITHIN = 0
-    SPARE = 1
-    BEYOND = 2
 
 
 def water_level(demands: t.Iterable[float], capacity: float) -> float:
@@ -96,7 +80,6 @@
     _changed: set[str] = attrs.Factory(set)
     _peers: dict[str, tuple[FadingSums, FadingSums]] = attrs.Factory(dict)
     _level: float = float("inf")
-    _real_level: float = float("inf")
     _even_split: float = float("inf")
     _taken: dict[str, float] = attrs.Factory(dict)
 
@@ -163,10 +146,6 @@
             total.update(given.all(now_ms))
         self._taken = dict(total)
         self._level = water_level(demands.values(), capacity)
-        # prompts that are kept make targets serve more than is stated; it is shared
-        # out alike, or whoever asks for most would get most of it.
-        real = max(capacity, sum(total.values()) * _GROWTH)
-        self._real_level = water_level(demands.values(), real)
         scarce = self._level < float("inf")
         self._even_split = self._level if scarce else capacity / max(1, len(demands))
 
@@ -179,7 +158,7 @@
         """
         taken = self._taken.get(customer, 0.0)
         share = min(self._level, self._even_split)
-        return int(min(_MOST_STAGES, _STAGES * taken / share))
+        return int(min(_MOST_STAGES, SHARE_STAGE * taken / share))
 
     def back_ms(self, customer: str, units: float) -> float:
         """Return after what time some more units are within a share again.
@@ -194,9 +173,6 @@
             return self.window_ms
         return min(self.window_ms, self.window_ms * math.log(taken / room))
 
-    def tier(self, customer: str, units: float) -> Tier:
-        """Return where some more units would take a customer."""
-        taken = self._taken.get(customer, 0.0) + units
-        if taken <= self._level:
-            return Tier.WITHIN
-        return Tier.SPARE if taken <= self._real_level else Tier.BEYOND
+    def is_over(self, customer: str, units: float) -> bool:
+        """Whether some more units would take a customer beyond its share."""
+        return self._taken.get(customer, 0.0) + units > self._level
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -3,6 +3,7 @@
 import heapq
 
 import attrs
+import pytest
 
 from snipedeal_direct import defaults
 from snipedeal_direct.model import Call
@@ -13,9 +14,9 @@
 from snipedeal_direct.model import Route
 from snipedeal_direct.model import Target
 from snipedeal_direct.model import TargetState
+from snipedeal_direct.queueing import NOBODY_SHORT
 from snipedeal_direct.queueing import ServiceQueue
 from snipedeal_direct.shares import Shares
-from snipedeal_direct.shares import Tier
 from snipedeal_direct.shares import water_level
 
 RATE = 50.0
@@ -255,12 +256,56 @@
     shares.note_asked("hot", 60_000.0, 0.0)
     shares.note_asked("other", 60_000.0, 0.0)
     shares.update(40_000.0, 0.0)
-    assert shares.tier("hot", 5_000.0) is not Tier.WITHIN
+    assert shares.is_over("hot", 5_000.0)
     back_ms = shares.back_ms("hot", 5_000.0)
     assert 0 < back_ms < 4000
     # nothing more was given meanwhile, and demand is as it was.
     shares.note_asked("hot", 60_000.0, back_ms)
     shares.note_asked("other", 60_000.0, back_ms)
     shares.update(40_000.0, back_ms + 1)
-    assert shares.tier("hot", 5_000.0) is Tier.WITHIN
+    assert not shares.is_over("hot", 5_000.0)
     assert shares.back_ms("other", 5_000.0) == 0.0
+
+
+def make_scarce_queue(running):
+    """Return a queue in which ``rich`` has had three shares of a scarce service."""
+    queue = make_queue(targets=1)
+    for customer in ("rich", "poor"):
+        queue.shares.note_asked(customer, 400_000.0, 0.0)
+    queue.shares.note_taken("rich", 300_000.0, 0.0)
+    queue.shares.note_taken("poor", 100_000.0, 0.0)
+    queue.shares.update(200_000.0, 0.0)
+    load = queue.targets["t0"]
+    load.set_peer("router-b", type(load.own)(running=running))
+    return queue
+
+
+@pytest.mark.parametrize(
+    ("running", "short_stage", "is_sent"),
+    [(16, NOBODY_SHORT, True), (16, 4, False), (16, 12, True), (4, 4, True)],
+)
+def test_customer_that_had_more_is_held_while_another_goes_short(
+    running, short_stage, is_sent
+):
+    """One customer comes to many routers, another to a single busy one."""
+    queue = make_scarce_queue(running)
+    queue.peers_short_stage["router-b"] = short_stage
+    queue.add(make_call(1, 0.0, customer="rich", tokens=100), 0.0)
+    assert bool(queue.dispatch(0.0)) is is_sent
+
+
+def test_customer_within_its_share_is_never_held():
+    queue = make_scarce_queue(running=16)
+    queue.peers_short_stage["router-b"] = 0
+    queue.add(make_call(1, 0.0, customer="new", tokens=100), 0.0)
+    assert len(queue.dispatch(0.0)) == 1
+
+
+def test_refused_customer_goes_short_for_a_while():
+    queue = make_scarce_queue(running=16)
+    assert queue.short_stage(0.0) == NOBODY_SHORT
+    queue.note_short("poor", 0.0)
+    assert queue.short_stage(0.0) == 4
+    queue.add(make_call(1, 0.0, customer="rich", tokens=100), 0.0)
+    assert queue.dispatch(0.0) == []
+    assert queue.short_stage(defaults.SHORT_MS + 1) == 12
