--- a/packages/snipedeal-standins/src/snipedeal_standins/soak.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak.py
@@ -109,6 +109,7 @@
     """A run of one seed.
 
     :param wrong: broken promises, in words.
+    :param calm_calls: requests that were sent after all faults.
     :param faults: how often each fault came.
     """
 
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_checks.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_checks.py
@@ -68,9 +68,7 @@
     return check_runs(stage.all_replicas(), refused)
 
 
-def check_open(
-    stage: Stage, calls: t.Iterable[Asked], now_s: float, ids: t.Container[str] = ()
-) -> list[str]:
+def check_open(stage: Stage, calls: t.Iterable[Asked], now_s: float) -> list[str]:
     """No call stays without an answer where no fault touched its router."""
     wrong = []
     for call in calls:
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_stage.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_stage.py
@@ -1,6 +1,5 @@
 """What a soak runs on: store, replicas, router processes, and relays between."""
 
-import asyncio
 import json
 import pathlib
 import random
@@ -123,7 +122,6 @@
         self.troubles: list[Trouble] = []
         self.stops: list[Stop] = []
         self.version = 0
-        self.revoked: set[str] = set()
 
     # -- life ----------------------------------------------------------------------
 
@@ -207,10 +205,6 @@
         document["routes"].append(
             route(f"ver-{self.version}", "idempotent", "desk", public=True)
         )
-        for customer in document["tenants"]:
-            customer["apiKeys"] = [
-                key for key in customer["apiKeys"] if key not in self.revoked
-            ]
         self.store.put("keyed.op", "config", json.dumps(document).encode())
 
     # -- troubles ----------------------------------------------------------------------
@@ -225,21 +219,6 @@
         """Whether a fault may have had an effect on a subject in some time."""
         return any(trouble.touches(subject, from_s, to_s) for trouble in self.troubles)
 
-    def is_any_touched(
-        self, subjects: t.Iterable[str], from_s: float, to_s: float
-    ) -> bool:
-        """The same for any of some subjects."""
-        return any(self.is_touched(subject, from_s, to_s) for subject in subjects)
-
-    async def until(self, check: t.Callable[[], bool], limit_s: float) -> bool:
-        """Wait until something holds; return whether it did in time."""
-        end_s = time.monotonic() + limit_s
-        while not check():
-            if time.monotonic() > end_s:
-                return False
-            await asyncio.sleep(0.05)
-        return True
-
 
 def engine_spec(name: str) -> ReplicaSpec:
     """Return a model engine whose streams last for some tenths of a second."""
