A test of request framing writes once; its one failure is listed

Cause, inferred and not traced: the router refuses at the header and closes; the caller's second write, or its read, then meets a reset, which the test took for an error. The request is sent in one write; the checks are the same (400 or a closed connection, and nothing smuggled runs).

--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -130,8 +130,8 @@
         link = edge.link()
         inner = b"GET /lookup/smuggled HTTP/1.1\r\nHost: callers.example\r\n\r\n"
         headers = {"Content-Length": str(len(inner)), **extra}
-        await link.send("POST", "/change/a", "r1", headers)
-        await link.send_raw(b"0\r\n\r\n" + inner)
+        # one write: after the refusal a second one may meet a reset instead.
+        await link.send("POST", "/change/a", "r1", headers, b"0\r\n\r\n" + inner)
         answer = await link.receive()
         assert answer.status in (400, 0)
         assert not any("smuggled" in run.target for run in edge.runs())
