Keep a log line's level when a field has the same name

On-call engineers saw a number in place of the level of request.refused: its field `level` (the share) replaced the line's level. The test failed before (KeyError-free, but level was 5).

--- a/packages/snipedeal-direct/src/snipedeal_direct/journal.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/journal.py
@@ -79,14 +79,14 @@
     def _format_line(
         self, record: std_logging.LogRecord, fields: dict[str, t.Any] | None
     ) -> bytes:
-        line: dict[str, t.Any] = {
+        common: dict[str, t.Any] = {
             "time": round(record.created, 3),
             "level": record.levelname.lower(),
             "process": self._process,
             "event": record.getMessage(),
         }
-        if fields:
-            line.update(fields)
+        # The common keys win, so that no field can replace, for example, the level.
+        line = common | (fields or {}) | common
         if record.exc_info:
             formatter = std_logging.Formatter()
             line["error"] = formatter.formatException(record.exc_info)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -43,6 +43,13 @@
     }
 
 
+def test_fields_do_not_replace_the_level_of_a_line():
+    handler = QueueHandler("router-a", FrozenClock())
+    line = handler._format_line(make_record("x"), {"level": 5, "process": "y"})
+    assert json.loads(line)["level"] == "info"
+    assert json.loads(line)["process"] == "router-a"
+
+
 def test_full_standard_output_does_not_block():
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
