--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -211,6 +211,10 @@
 LOG_LINES_PER_S = 400
 #: Interval at which queued log lines are written, ms.
 LOG_FLUSH_MS = 100
+#: Interval between log lines about customers whose calls were refused, ms; and how many
+#: customers of a service are named, those with most refused units first.
+ACCOUNTS_INTERVAL_MS = 1_000
+ACCOUNTS_LOGGED = 6
 
 # -- periodic checks ----------------------------------------------------------
 #: Interval at which a stopping process checks whether it is done, ms.
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -7,6 +7,7 @@
 
 from snipedeal.clock import Clock
 from snipedeal_direct import defaults
+from snipedeal_direct.accounting import log_fields
 from snipedeal_direct.journal import info
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import RouteTable
@@ -70,6 +71,7 @@
         self._is_scheduled = False
         self._dispatch_delay_ms = float(defaults.DISPATCH_DELAY_MS)
         self._shares_updated_ms = 0.0
+        self._accounts_logged_ms = 0.0
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -135,6 +137,10 @@
             self._futures.pop(call, None)
             queue.remove(call)
 
+    def note_asked(self, call: Call) -> None:
+        """Count a call that arrived, whatever becomes of it."""
+        self._queue(call.service).accounts.note_asked(call)
+
     def note_demand(self, call: Call) -> None:
         """Add a new call to its customer's demand."""
         queue = self._queue(call.service)
@@ -206,6 +212,7 @@
             if future is None or future.done():
                 self.end(dispatched)
             else:
+                queue.accounts.note_sent(dispatched.call)
                 self.on_sent(dispatched)
                 future.set_result(dispatched)
         for call, refusal in queue.expire(now_ms):
@@ -224,8 +231,27 @@
                 for queue in self.queues.values():
                     if queue.engine is not None and self._capacity:
                         queue.shares.update(self._capacity, now_ms)
+            if now_ms - self._accounts_logged_ms >= defaults.ACCOUNTS_INTERVAL_MS:
+                self._accounts_logged_ms = now_ms
+                self._log_accounts(now_ms)
             self._dispatch_all()
 
+    def _log_accounts(self, now_ms: float) -> None:
+        """Log the customers that had calls refused since the last time."""
+        for name, queue in self.queues.items():
+            for customer, totals in queue.accounts.take():
+                info(
+                    "customer.refused",
+                    service=name,
+                    **log_fields(customer, totals),
+                    used=round(queue.shares.usage(customer)),
+                    share=round(min(queue.shares.fair_share, 1e9)),
+                    capacity=round(self._capacity),
+                    all_used=round(queue.shares.total_usage),
+                    lag_ms=round(self.lag.ms),
+                    dispatch_delay_ms=round(self._dispatch_delay_ms, 1),
+                )
+
     def _note_lag(self, late_ms: float) -> None:
         before = self.lag.is_overloaded
         self.lag.note(late_ms)
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -170,6 +170,7 @@
             prompt=prompt,
             last_event_id=request.header(headers.resume_after).encode("latin-1"),
         )
+        router.dispatcher.note_asked(call)
         refusal = router.shutdown_refusal(call, now_ms)
         if refusal is None and router.dispatcher.lag.is_overloaded:
             refusal = Refusal(503, "overloaded", retry_after_s(call.id))
@@ -514,7 +515,10 @@
         self._metrics.answers.labels(service, str(refusal.status), refusal.reason).inc()
         queue = self._router.dispatcher.queues.get(service)
         if queue and call and call.prompt:
-            queue.note_refused(call.customer, self._clock.now_ms())
+            queue.note_refused(call, refusal.reason, self._clock.now_ms())
+            is_over = queue.shares.is_over(call.customer, call.units)
+            outcome = "refused_over_share" if is_over else "refused_within_share"
+            self._metrics.units.labels(service, outcome).inc(call.units)
         info(
             "request.refused",
             request=call.id if call else request_id,
@@ -529,7 +533,7 @@
             is_over=queue.shares.is_over(call.customer, call.units)
             if queue and call
             else False,
-            level=round(min(queue.shares.fair_share, 1e9)) if queue else 0,
+            share=round(min(queue.shares.fair_share, 1e9)) if queue else 0,
             waiting=len(queue.waiting) if queue else 0,
             reading=round(sum(load.prefill_tokens for load in queue.targets.values()))
             if queue
@@ -570,6 +574,7 @@
         now_ms = self._clock.now_ms()
         waited_ms = now_ms - call.arrived_ms
         self._metrics.queue_wait.labels(call.service).observe(waited_ms / 1000)
+        self._metrics.units.labels(call.service, "sent").inc(call.units)
         load = dispatched.load
         info(
             "request.sent",
--- a/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
@@ -50,6 +50,23 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self.units = Counter(
+            "snipedeal_direct_units",
+            "Capacity units of calls with prompts by outcome.",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+        self.fair_share = Gauge(
+            "snipedeal_direct_fair_share_units",
+            "Fair share of a customer in a share window; +Inf without scarcity.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.loop_lag = Gauge(
+            "snipedeal_direct_loop_lag_seconds",
+            "How late the event loop runs its timers.",
+            registry=self.registry,
+        )
         self.waiting = Gauge(
             "snipedeal_waiting",
             "Calls that wait at this router.",
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -13,6 +13,7 @@
 
 from snipedeal.utils import stable_hash
 from snipedeal_direct import defaults
+from snipedeal_direct.accounting import CustomerAccounts
 from snipedeal_direct.load import InFlightCall
 from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.model import Call
@@ -80,6 +81,7 @@
     engine: EngineLimits | None = None
     targets: dict[str, TargetLoad] = attrs.Factory(dict)
     waiting: list[QueuedCall] = attrs.Factory(list)
+    accounts: CustomerAccounts = attrs.Factory(CustomerAccounts)
     peers_queued_tokens: dict[str, list[int]] = attrs.Factory(dict)
     peers_underserved_stage: dict[str, int] = attrs.Factory(dict)
     _last_refused_ms: dict[str, float] = attrs.Factory(dict)
@@ -139,9 +141,10 @@
         slack_ms = latest_start_ms - now_ms
         return bisect.bisect_left(defaults.SLACK_CLASSES_MS, slack_ms)
 
-    def note_refused(self, customer: str, now_ms: float) -> None:
-        """Record that one of a customer's calls was refused, for any reason."""
-        self._last_refused_ms[customer] = now_ms
+    def note_refused(self, call: Call, reason: str, now_ms: float) -> None:
+        """Record that a call was refused, for any reason."""
+        self._last_refused_ms[call.customer] = now_ms
+        self.accounts.note_refused(call, reason, self._is_over_share(call))
 
     def underserved_stage(self, now_ms: float) -> int:
         """Return the lowest stage of a customer that is underserved at this router.
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -272,6 +272,8 @@
     def _serve_metrics(self, exchange: Exchange) -> None:
         for name, queue in self.dispatcher.queues.items():
             self.metrics.waiting.labels(name).set(len(queue.waiting))
+            self.metrics.fair_share.labels(name).set(queue.shares.fair_share)
+        self.metrics.loop_lag.set(self.dispatcher.lag.ms / 1000)
         self.metrics.log_dropped.set(self._log_writer.dropped)
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         exchange.respond(200, headers, self.metrics.render())
--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -95,6 +95,15 @@
         """Fair share of a customer, units in a window; infinite without scarcity."""
         return self._fair_share
 
+    @property
+    def total_usage(self) -> float:
+        """What all customers used in a window, units."""
+        return sum(self._usage.values())
+
+    def usage(self, customer: str) -> float:
+        """Return what a customer used in a window at all routers, units."""
+        return self._usage.get(customer, 0.0)
+
     def note_demand(self, customer: str, units: float, now_ms: float) -> None:
         """Add a request's units to a customer's demand."""
         self._demand.add(customer, units, now_ms)
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -329,7 +329,7 @@
 def test_refused_customer_is_underserved_for_a_limited_time():
     queue = make_scarce_queue(running=16)
     assert queue.underserved_stage(0.0) == NO_UNDERSERVED_STAGE
-    queue.note_refused("poor", 0.0)
+    queue.note_refused(make_call(2, 0.0, customer="poor"), "too_late", 0.0)
     assert queue.underserved_stage(0.0) == 4
     queue.add(make_call(1, 0.0, customer="rich", tokens=100), 0.0)
     assert queue.dispatch(0.0) == []
