Share among customers what is served, not the configured capacity

Cause: the max-min share was computed from the configured capacity (2,400,000 units in the window of 4 s). Cached prompt parts count as units but take no prefill time, so that engines served up to 6,450,000. Every large customer was then beyond its share, and the surplus went to calls beyond shares, whose order holds at one router only: whoever reached more routers got more of it.

Fix: the share divides what all customers used in the window where that exceeds the configured capacity. Each router computes it from the same reports. A customer below the share comes before all that are beyond it, at every router.

--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -150,7 +150,10 @@
     def update(self, capacity: float, now_ms: float) -> None:
         """Recompute the fair share and every customer's usage, over all routers.
 
-        :param capacity: units that all targets together serve in a window.
+        The share divides what all customers used where that is more than the
+        configured capacity: cached prompt parts take units but hardly any time.
+
+        :param capacity: configured units that all targets together serve in a window.
         """
         demands = collections.Counter(self._demand.all(now_ms))
         usage = collections.Counter(self._served.all(now_ms))
@@ -158,10 +161,11 @@
             demands.update(demand.all(now_ms))
             usage.update(served.all(now_ms))
         self._usage = dict(usage)
-        self._fair_share = max_min_fair_share(demands.values(), capacity)
+        achieved = max(capacity, self.total_usage)
+        self._fair_share = max_min_fair_share(demands.values(), achieved)
         scarce = self._fair_share < float("inf")
         self._equal_share = (
-            self._fair_share if scarce else capacity / max(1, len(demands))
+            self._fair_share if scarce else achieved / max(1, len(demands))
         )
 
     def stage(self, customer: str) -> int:
