Return the usage of calls that no target ran

Cause: usage is charged when a call is assigned to a target and stayed charged when the target could not be reached or declined the call. One call may be assigned three times.

Evidence (run with request lines, shares of what is served): in second 14 calls of 1,000 kilotokens of jebo882 were assigned, 793 of them unreachable; in second 15 none was sent and 960 were refused as too_late, over their share.

Fix: where a target is known not to have run the call (connect failed, 421, not executed, caller gone before the send), what is left of the charge is taken back. A run that broke off stays charged: it took the targets' time. Both tests failed before.

--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -131,6 +131,7 @@
         except asyncio.CancelledError:
             # A target was assigned just before the cancellation; release it.
             if future.done() and not future.cancelled() and not future.exception():
+                self.note_not_run(future.result())
                 self.end(future.result())
             raise
         finally:
@@ -161,6 +162,16 @@
         health.note_answer(is_good, self._clock.now_ms())
         self._log_health_change(dispatched, before, "answer")
 
+    def note_not_run(self, dispatched: Dispatched) -> None:
+        """Take back the usage of a call that its target did not run."""
+        call = dispatched.call
+        self._queue(call.service).shares.return_unserved(
+            call.customer,
+            call.units,
+            dispatched.in_flight.sent_ms,
+            self._clock.now_ms(),
+        )
+
     def note_unreachable(self, dispatched: Dispatched) -> None:
         """Record a failed connect to a target."""
         health = dispatched.load.health
@@ -210,6 +221,7 @@
         for dispatched in queue.dispatch(now_ms):
             future = self._futures.get(dispatched.call)
             if future is None or future.done():
+                self.note_not_run(dispatched)
                 self.end(dispatched)
             else:
                 queue.accounts.note_sent(dispatched.call)
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -242,6 +242,7 @@
                     return
                 reason = f"status_{failure.head.status}"
             except ConnectError as error:
+                self._router.dispatcher.note_not_run(dispatched)
                 self._router.dispatcher.note_unreachable(dispatched)
                 self._log_attempt(call, dispatched, "unreachable", str(error))
                 call.tried.add(dispatched.load.target.id)
@@ -250,6 +251,7 @@
                     raise RefusedError(self._unavailable("unreachable")) from error
                 continue
             except DeclinedError as error:
+                self._router.dispatcher.note_not_run(dispatched)
                 self._log_attempt(call, dispatched, "declined", str(error))
                 if error.is_replaced:
                     self._router.dispatcher.note_replaced(dispatched)
--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -115,6 +115,18 @@
         self._changed.add(customer)
         self._usage[customer] = self._usage.get(customer, 0.0) + units
 
+    def return_unserved(
+        self, customer: str, units: float, served_ms: float, now_ms: float
+    ) -> None:
+        """Take back the usage of a request that no target ran.
+
+        :param served_ms: time at which it was noted as served.
+        """
+        left = units * math.exp((served_ms - now_ms) / self.window_ms)
+        self._served.add(customer, -left, now_ms)
+        self._changed.add(customer)
+        self._usage[customer] = max(0.0, self._usage.get(customer, 0.0) - left)
+
     def own_changes(
         self, now_ms: float, is_full: bool
     ) -> list[tuple[str, float, float]]:
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -239,6 +239,24 @@
     check()
 
 
+@on_edge(MODEL)
+async def test_customer_is_not_charged_for_targets_that_did_not_run_its_request(edge):
+    await edge.replicas["model-0"].close()
+    answered = 0
+    for number in range(8):
+        headers = {**PROMPT, "Snipedeal-Prompt-Prefix": f"a{number}:800,b{number}:200"}
+        answer = await edge.caller_connection().request(
+            "POST", "/chat/x", f"c{number}", headers
+        )
+        answered += answer.status == 200
+    (router,) = edge.routers
+    attempts = router.metrics.attempts
+    assert attempts.labels("model", "unreachable")._value.get() >= 1
+    queue = router.dispatcher.queues["model"]
+    queue.shares.update(0.0, router.clock.now_ms())
+    assert queue.shares.usage(CUSTOMER) <= answered * (1000 + 2 * 20)
+
+
 @on_edge(DESK)
 async def test_declined_request_is_sent_to_another_target(edge):
     edge.replicas["desk-0"].faults.mode = "declined"
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,5 +1,7 @@
 """Customer demand and usage that routers report to each other."""
 
+import math
+
 import pytest
 
 from snipedeal_direct.shares import Shares
@@ -50,3 +52,15 @@
     send_changes(sender, receiver, 0.0, is_full=True)
     receiver.update(600.0, 0.0)
     assert receiver.fair_share == 600.0
+
+
+def test_usage_of_a_request_that_no_target_ran_is_returned():
+    shares, peer = Shares(4000.0), Shares(4000.0)
+    shares.note_served("a", 1000.0, 0.0)
+    shares.note_served("a", 500.0, 100.0)
+    shares.return_unserved("a", 1000.0, 0.0, 600.0)
+    expected = 500.0 * math.exp(-500.0 / 4000.0)
+    send_changes(shares, peer, 600.0)
+    for each in (shares, peer):
+        each.update(10_000.0, 600.0)
+        assert each.usage("a") == pytest.approx(expected)
