Count the demand that an overloaded or stopping router refuses

A customer whose calls were refused for loop lag was missing from the demand from which all routers compute the max-min share. Its share went to the others, and the routers that its callers tried next took it for a customer that asks for little.

Demand is now noted for each call with a known customer and service.

--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -138,13 +138,10 @@
             self._futures.pop(call, None)
             queue.remove(call)
 
-    def note_asked(self, call: Call) -> None:
-        """Count a call that arrived, whatever becomes of it."""
-        self._queue(call.service).accounts.note_asked(call)
-
     def note_demand(self, call: Call) -> None:
-        """Add a new call to its customer's demand."""
+        """Add a new call to its customer's demand, whatever becomes of it."""
         queue = self._queue(call.service)
+        queue.accounts.note_asked(call)
         queue.shares.note_demand(call.customer, call.units, self._clock.now_ms())
 
     def note_first_event(self, dispatched: Dispatched) -> None:
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -170,14 +170,13 @@
             prompt=prompt,
             last_event_id=request.header(headers.resume_after).encode("latin-1"),
         )
-        router.dispatcher.note_asked(call)
+        router.dispatcher.note_demand(call)
         refusal = router.shutdown_refusal(call, now_ms)
         if refusal is None and router.dispatcher.lag.is_overloaded:
             refusal = Refusal(503, "overloaded", retry_after_s(call.id))
         if refusal is not None:
             self._refuse(exchange, call, refusal)
             return None
-        router.dispatcher.note_demand(call)
         self._retry_budget(call.service).note_request(now_ms)
         return call
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -30,6 +30,28 @@
     assert lag.ms == 0.0
 
 
+def test_demand_that_an_overloaded_router_refuses_counts_for_the_fair_share():
+    async def scenario():
+        edge = Edge()
+        try:
+            await edge.start([ReplicaSpec("model-0", "model", read_rate=200.0)])
+            (router,) = edge.routers
+            router.dispatcher.lag.note(1e60)
+            headers = {"Snipedeal-Token-Usage": "1000,20"}
+            answer = await edge.caller_connection().request(
+                "POST", "/chat/x", "c1", headers
+            )
+            shares = router.dispatcher.queues["model"].shares
+            changes = shares.own_changes(router.clock.now_ms(), is_full=True)
+            return answer, [customer for customer, demand, _ in changes if demand > 0]
+        finally:
+            await edge.close()
+
+    answer, customers = asyncio.run(scenario())
+    assert answer.status == 503
+    assert customers == ["one"]
+
+
 def test_dispatch_delay_bounds_the_cpu_share_of_dispatches():
     assert dispatch_delay_ms(0.0) == defaults.DISPATCH_DELAY_MS
     for dispatch_ms in (1.0, 2.0, 4.0):
