Shed calls of an overloaded router by customer, not all alike

Cause: above the limit of the loop's lag every call was refused, whoever sent it. The processor time of the router was a resource that one customer could use up.

Fix: while the loop lags, calls are refused of customers beyond their max-min share of the calls that this router admitted in the last second; four times above the limit all are, as before. In the test, which models a router with 10 ms of work for a call, the light customer is served; it fails when all calls are refused above the limit.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -149,6 +149,13 @@
 LAG_LIMIT_MS = 50.0
 #: Fraction of the lag that remains after a timer that fired on time.
 LAG_DECAY = 0.8
+#: Factor of the lag limit above which calls of all customers are refused.
+SHED_ALL_LAG_FACTOR = 4.0
+#: Time over which the calls of customers at an overloaded router are compared, ms.
+SHED_WINDOW_MS = 1_000.0
+#: Fraction of the calls admitted lately that an overloaded router shares out; below
+#: one, so that its lag falls.
+SHED_CAPACITY_FRACTION = 0.8
 
 # -- peers --------------------------------------------------------------------
 #: Interval between load reports to peers, and shortest interval between updates of the
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -12,6 +12,7 @@
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import RouteTable
 from snipedeal_direct.model import Target
+from snipedeal_direct.overload import LoadShedder
 from snipedeal_direct.overload import LoopLag
 from snipedeal_direct.queueing import Dispatched
 from snipedeal_direct.queueing import Refusal
@@ -59,7 +60,7 @@
 
     def __init__(self, settings: DirectSettings, clock: Clock) -> None:
         self.queues: dict[str, ServiceQueue] = {}
-        self.lag = LoopLag(settings.max_lag_ms)
+        self.shedder = LoadShedder(LoopLag(settings.max_lag_ms))
         self.on_sent: t.Callable[[Dispatched], None] = lambda dispatched: None
         self.on_new_instance: t.Callable[[Target], None] = lambda target: None
         self._settings = settings
@@ -74,6 +75,11 @@
         self._accounts_logged_ms = 0.0
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def lag(self) -> LoopLag:
+        """How late this process runs its timers."""
+        return self.shedder.lag
+
     def start(self) -> None:
         """Start the periodic dispatch."""
         self._task = asyncio.create_task(self._tick(), name="dispatcher")
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -172,7 +172,7 @@
         )
         router.dispatcher.note_demand(call)
         refusal = router.shutdown_refusal(call, now_ms)
-        if refusal is None and router.dispatcher.lag.is_overloaded:
+        if refusal is None and not router.dispatcher.shedder.admits(customer, now_ms):
             refusal = Refusal(503, "overloaded", retry_after_s(call.id))
         if refusal is not None:
             self._refuse(exchange, call, refusal)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,9 +1,11 @@
 """An overloaded router refuses new calls, so that callers try another router."""
 
 import asyncio
+import collections
 
 from snipedeal_direct import defaults
 from snipedeal_direct.dispatching import dispatch_delay_ms
+from snipedeal_direct.overload import LoadShedder
 from snipedeal_direct.overload import LoopLag
 from snipedeal_standins.edge import Edge
 from snipedeal_standins.replica import ReplicaSpec
@@ -30,6 +32,33 @@
     assert lag.ms == 0.0
 
 
+def test_flood_of_one_customer_does_not_shut_out_others_at_an_overloaded_router():
+    shedder = LoadShedder(LoopLag())
+    arrived = collections.Counter()
+    admitted = collections.Counter()
+    work_ms = 0.0
+    for now_ms in range(5_000):
+        work_ms = max(0.0, work_ms - 1.0)
+        if now_ms % defaults.DISPATCH_TICK_MS == 0:
+            shedder.lag.note(work_ms)
+        for customer, interval_ms in (("flood", 4), ("light", 250)):
+            if now_ms % interval_ms == 0:
+                arrived[customer] += 1
+                if shedder.admits(customer, float(now_ms)):
+                    admitted[customer] += 1
+                    work_ms += 10.0
+    assert admitted["light"] >= 0.9 * arrived["light"]
+    # The router stays busy.
+    assert admitted["flood"] >= 0.8 * 5_000 / 10
+
+
+def test_far_behind_router_refuses_calls_of_all_customers():
+    shedder = LoadShedder(LoopLag())
+    assert shedder.admits("light", 0.0)
+    shedder.lag.note(defaults.LAG_LIMIT_MS * (defaults.SHED_ALL_LAG_FACTOR + 1))
+    assert not shedder.admits("light", 1.0)
+
+
 def test_demand_that_an_overloaded_router_refuses_counts_for_the_fair_share():
     async def scenario():
         edge = Edge()
@@ -68,7 +97,7 @@
             router = edge.routers[0]
             router.dispatcher.lag.note(1e60)
             answer = await edge.caller_connection().request("POST", "/change/x", "c1")
-            router.dispatcher.lag = LoopLag(1e12)
+            router.dispatcher.shedder.lag = LoopLag(1e12)
             again = await edge.caller_connection().request("POST", "/change/x", "c2")
             return answer, again, [run.id for run in edge.runs()]
         finally:
