Keep strict limits for calls beyond the configured share

The share of what is served now decides the order and who may be deferred. Calls beyond the share of the configured capacity keep the latency limit of 1.0 and use 0.8 of an engine's capacity, those beyond both 0.6 as before. Routers report their queues in two more classes; shorter reports of earlier releases are read.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -101,8 +101,8 @@
 #: yield to a customer that was served much less; pending prefill counts as all slots
 #: in use.
 DEFERRAL_SLOT_FRACTION = 0.2
-#: Fraction of a target's capacity for calls that exceed their customer's share.
-OVER_SHARE_CAPACITY_FRACTION = 0.6
+#: Fraction of a target's capacity that calls may use, by tier (``shares.Tier``).
+TIER_CAPACITY_FRACTIONS = (1.0, 0.8, 0.6)
 #: A customer counts as underserved for this long after one of its calls was refused,
 #: ms; its callers retry within about that time.
 UNDERSERVED_MS = 1_000.0
@@ -135,7 +135,7 @@
 #: Calls are refused if their expected time to the first event exceeds their latency
 #: target by this factor.
 LATENCY_LIMIT_FACTOR = 2.5
-#: The same for calls that exceed their customer's share.
+#: The same for calls that exceed their customer's configured share.
 OVER_SHARE_LATENCY_LIMIT_FACTOR = 1.0
 #: Maximum concurrent requests for each slot of a target without a model engine.
 PLAIN_REQUESTS_PER_SLOT = 1.0
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -22,6 +22,7 @@
 from snipedeal_direct.model import TargetState
 from snipedeal_direct.shares import FULL_SHARE_STAGE
 from snipedeal_direct.shares import Shares
+from snipedeal_direct.shares import Tier
 
 #: Returned by :meth:`ServiceQueue.underserved_stage` if no customer is underserved;
 #: higher than any customer's stage.
@@ -126,18 +127,18 @@
         """Return the queued prompt tokens, summed by slack class.
 
         The slack is the time until a call's latest start. Calls that can no longer
-        meet their latency target, or that exceed their customer's share, are in the
-        last class.
+        meet their latency target have a class of their own, and so have the two tiers
+        of calls beyond the configured share.
         """
-        sums = [0] * (len(defaults.SLACK_CLASSES_MS) + 1)
+        sums = [0] * (len(defaults.SLACK_CLASSES_MS) + 1 + Tier.BEYOND_SHARES)
         for item in self.waiting:
             sums[self._slack_class(item, now_ms)] += int(_prompt_tokens(item.call))
         return sums
 
     def _slack_class(self, item: QueuedCall, now_ms: float) -> int:
-        is_over, is_late, _, latest_start_ms = self._sort_key(item, now_ms)
-        if is_over or is_late:
-            return len(defaults.SLACK_CLASSES_MS)
+        tier, is_late, _, latest_start_ms = self._sort_key(item, now_ms)
+        if tier or is_late:
+            return len(defaults.SLACK_CLASSES_MS) + tier
         slack_ms = latest_start_ms - now_ms
         return bisect.bisect_left(defaults.SLACK_CLASSES_MS, slack_ms)
 
@@ -180,6 +181,9 @@
         lowest = max(min(stages), FULL_SHARE_STAGE)
         return self.shares.stage(call.customer) > lowest * defaults.DEFERRAL_USAGE_RATIO
 
+    def _tier(self, call: Call) -> Tier:
+        return self.shares.tier(call.customer, call.units)
+
     def _is_over_share(self, call: Call) -> bool:
         return self.shares.is_over(call.customer, call.units)
 
@@ -238,17 +242,17 @@
 
     def _sort_key(
         self, item: QueuedCall, now_ms: float
-    ) -> tuple[bool, bool, int, float]:
+    ) -> tuple[Tier, bool, int, float]:
         """Return the sort key of a call in the queue.
 
-        Calls within their customers' shares come first, then calls that can still
-        meet their latency target, then those of customers that used less of their
-        shares, then those with the earliest latest start.
+        The order is by tier, then calls that can still meet their latency target
+        come first, then those of customers that used less of their shares, then those
+        with the earliest latest start.
         """
         call = item.call
         stage = self.shares.stage(call.customer)
         return (
-            self._is_over_share(call),
+            self._tier(call),
             now_ms > item.latest_start_ms,
             stage,
             item.latest_start_ms,
@@ -314,13 +318,11 @@
     def _usable_fraction(self, call: Call, load: TargetLoad, now_ms: float) -> float:
         """Return the fraction of a target's capacity that a call may use, 0 to 1.
 
-        Calls that exceed their customer's share get less, so that capacity remains
-        for calls within a share that may arrive next.
+        Higher tiers get less, so that capacity remains for calls of lower tiers that
+        may arrive next.
         """
         fraction = load.health.capacity_fraction(now_ms)
-        if self._is_over_share(call):
-            fraction *= defaults.OVER_SHARE_CAPACITY_FRACTION
-        return fraction
+        return fraction * defaults.TIER_CAPACITY_FRACTIONS[self._tier(call)]
 
     def _has_engine_capacity(self, call: Call, load: TargetLoad, now_ms: float) -> bool:
         """Return whether slots, pending prefill and memory of a target allow a call."""
@@ -336,7 +338,8 @@
         pending_tokens = load.prefill_tokens
         # Pending prefill counts as all slots in use: the engine is not idle.
         used = load.running / slots if pending_tokens <= 0 else 1.0
-        if self._is_over_share(call) and used >= defaults.IDLE_SLOT_FRACTION:
+        tier = self._tier(call)
+        if tier and used >= defaults.IDLE_SLOT_FRACTION:
             if used >= defaults.DEFERRAL_SLOT_FRACTION and self._is_deferred(
                 call, now_ms
             ):
@@ -400,11 +403,10 @@
     ) -> Refusal | None:
         """Refuse a call whose first event is expected after its latency limit."""
         call = item.call
-        is_over = self._is_over_share(call)
         latency_factor = (
-            defaults.OVER_SHARE_LATENCY_LIMIT_FACTOR
-            if is_over
-            else defaults.LATENCY_LIMIT_FACTOR
+            defaults.LATENCY_LIMIT_FACTOR
+            if self._tier(call) is Tier.WITHIN_CONFIGURED_SHARE
+            else defaults.OVER_SHARE_LATENCY_LIMIT_FACTOR
         )
         limit_ms = min(
             call.arrived_ms + call.route.target_latency_ms * latency_factor,
@@ -430,7 +432,9 @@
         slack_class = self._slack_class(item, now_ms)
         for queued_tokens in self.peers_queued_tokens.values():
             # On average, half of a call's own class is ahead of it.
-            ahead += sum(queued_tokens[:slack_class]) + queued_tokens[slack_class] / 2
+            # Routers of earlier releases report fewer classes.
+            own_class = queued_tokens[slack_class : slack_class + 1]
+            ahead += sum(queued_tokens[:slack_class]) + sum(own_class) / 2
         return ahead / rate + min(
             load.prefill_tokens / load.prefill_rate for load in usable
         )
--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -1,6 +1,7 @@
 """Compute customers' max-min fair shares of the fleet's capacity."""
 
 import collections
+import enum
 import math
 import typing as t
 
@@ -64,6 +65,19 @@
         return sums
 
 
+class Tier(enum.IntEnum):
+    """How a call stands to its customer's shares; lower tiers come first.
+
+    Calls within the configured share may take the capacity that is planned for them.
+    Those within the achieved share are as urgent as any other customer's at that
+    level, but may not fill the targets' queues.
+    """
+
+    WITHIN_CONFIGURED_SHARE = 0
+    WITHIN_ACHIEVED_SHARE = 1
+    BEYOND_SHARES = 2
+
+
 @attrs.define
 class Shares:
     """Recent demand and usage of each customer at one service, with fair shares.
@@ -83,6 +97,7 @@
     # Demand and usage reported by each peer.
     _peers: dict[str, tuple[DecayingSums, DecayingSums]] = attrs.Factory(dict)
     _fair_share: float = float("inf")
+    _configured_share: float = float("inf")
     _equal_share: float = float("inf")
     _usage: dict[str, float] = attrs.Factory(dict)
 
@@ -173,6 +188,7 @@
             demands.update(demand.all(now_ms))
             usage.update(served.all(now_ms))
         self._usage = dict(usage)
+        self._configured_share = max_min_fair_share(demands.values(), capacity)
         achieved = max(capacity, self.total_usage)
         self._fair_share = max_min_fair_share(demands.values(), achieved)
         scarce = self._fair_share < float("inf")
@@ -204,6 +220,15 @@
             return self.window_ms
         return min(self.window_ms, self.window_ms * math.log(usage / headroom))
 
+    def tier(self, customer: str, units: float) -> Tier:
+        """Return the tier of a call of ``units`` more."""
+        usage = self._usage.get(customer, 0.0) + units
+        if usage <= self._configured_share:
+            return Tier.WITHIN_CONFIGURED_SHARE
+        if usage <= self._fair_share:
+            return Tier.WITHIN_ACHIEVED_SHARE
+        return Tier.BEYOND_SHARES
+
     def is_over(self, customer: str, units: float) -> bool:
         """Return whether ``units`` more would make a customer exceed its share."""
         return self._usage.get(customer, 0.0) + units > self._fair_share
