Bound responses without end at the direct router

A target in trouble may send bytes that are no answer without end. A caller waited for its whole deadline, the router's memory grew, and the target's health and the attempts' metric did not show the failure.

Cause: heads were bounded, but trailers, chunk extensions, single events of a stream and the bodies of failed or declined responses were collected without a limit, and an attempt cut by the deadline was not recorded.

Fix: bytes received since the last byte of a body are bounded like a head, an event by EVENT_BYTES, a buffered body by the limit of other buffered responses; the connection is closed and the attempt counts as broken. A declined request goes to another target without waiting for more of the body than 100 ms. An attempt that the deadline cuts off is logged and counted as timeout, and counts against the target's health.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -42,8 +42,14 @@
 BUFFERED_RESPONSE_BYTES = 262_144
 #: Response bytes queued for the forwarding task before reading pauses.
 RESPONSE_QUEUE_BYTES = 262_144
-#: Maximum size of response headers, bytes; the common limit of HTTP servers.
+#: Maximum size of response headers, bytes; the common limit of HTTP servers. It also
+#: bounds what else a target may send without a byte of the body, such as trailers.
 RESPONSE_HEADER_BYTES = 65_536
+#: Time for the body of a response that declines a request, ms; its connection is closed
+#: after that, and the request goes to another target.
+DECLINED_BODY_MS = 100
+#: Maximum size of one event of a stream, bytes.
+EVENT_BYTES = 262_144
 
 # -- forwarding ---------------------------------------------------------------
 #: Part of the timeout reserved for answering the caller before it disconnects, ms.
--- a/packages/snipedeal-direct/src/snipedeal_direct/egress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/egress.py
@@ -144,6 +144,12 @@
             self.close()
         return is_kept
 
+    def fail(self, reason: str) -> None:
+        """Give up on an invalid response; its reader gets an error."""
+        self._error = reason
+        self.close()
+        self._wake()
+
     def close(self) -> None:
         """Abort the connection, so that the server stops work on its request."""
         self.is_closed = True
@@ -168,19 +174,18 @@
             self._notify_idle_close()
             self.close()
             return
-        if self._response is None:
-            # The newest bytes don't count yet, since they may be part of the body.
-            self._head_bytes += len(data)
-            if self._head_bytes > defaults.RESPONSE_HEADER_BYTES + len(data):
-                self._fail("header too large")
-                return
+        if self._bytes_since_body > defaults.RESPONSE_HEADER_BYTES:
+            part = "header" if self._response is None else "trailer or chunk size"
+            self.fail(f"{part} too large")
+            return
+        self._bytes_since_body += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._is_complete:
                 self._has_unexpected_data = True
             else:
-                self._fail(f"not HTTP/1.1: {error}")
+                self.fail(f"not HTTP/1.1: {error}")
         if self._sink is not None:
             self._deliver_to_sink()
             return
@@ -211,8 +216,8 @@
             self._has_unexpected_data = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        if not self._is_complete:
+        """Store a header; drop trailers."""
+        if self._response is None:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -238,6 +243,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body."""
+        self._bytes_since_body = 0
         if not self._is_complete:
             self._parts.append(body)
             self._buffered_bytes += len(body)
@@ -257,7 +263,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._parts: list[bytes] = []
         self._buffered_bytes = 0
-        self._head_bytes = 0
+        # Bytes received since the start of the response or the last byte of its body.
+        self._bytes_since_body = 0
         self._is_complete = False
         self._is_interim = False
         self._has_unexpected_data = False
@@ -298,11 +305,6 @@
                 self._error or "closed", "answer", peer=f"{host}:{port}"
             )
 
-    def _fail(self, reason: str) -> None:
-        self._error = reason
-        self.close()
-        self._wake()
-
     def _notify_idle_close(self) -> None:
         if self.on_idle_close is not None:
             self.on_idle_close()
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -1,6 +1,7 @@
 """Handle calls: admission, attempts at targets, and the response."""
 
 import asyncio
+import contextlib
 import typing as t
 
 import attrs
@@ -259,6 +260,11 @@
                 if declined > defaults.DECLINED_LIMIT or not self._spend_retry(call):
                     raise RefusedError(self._unavailable("declined")) from error
                 continue
+            except asyncio.CancelledError:
+                if self._clock.now_ms() >= call.deadline_ms:
+                    self._router.dispatcher.note_answer(dispatched, False)
+                    self._log_attempt(call, dispatched, "timeout")
+                raise
             except BrokenResponseError as error:
                 self._router.dispatcher.note_answer(dispatched, False)
                 self._log_attempt(call, dispatched, "broken", str(error))
@@ -342,7 +348,10 @@
                 # The request has not run: this counts neither as an attempt nor
                 # as a failure of the target.
                 call.attempts -= 1
-                await self._read_body(connection)
+                with contextlib.suppress(BrokenResponseError, TimeoutError):
+                    # A connection is reused only after a complete response.
+                    async with asyncio.timeout(defaults.DECLINED_BODY_MS / 1000):
+                        await self._read_body(connection)
                 raise DeclinedError(
                     f"status {head.status}", "send", target.id, head.status == 421
                 )
@@ -375,9 +384,18 @@
             )
 
     async def _read_body(self, connection: Connection) -> bytes:
+        """Return the body of a response that is forwarded only if no retry follows.
+
+        :raises BrokenResponseError: it is incomplete or too large to be buffered.
+        """
         parts = []
+        size = 0
         while data := await connection.read():
             parts.append(data)
+            size += len(data)
+            if size > defaults.BUFFERED_RESPONSE_BYTES:
+                connection.close()
+                raise BrokenResponseError("body too large", "answer")
         return b"".join(parts)
 
     async def _forward_response(
@@ -431,6 +449,9 @@
 
         def forward_events(data: bytes) -> bool:
             events = splitter.feed(data)
+            if splitter.partial_bytes > defaults.EVENT_BYTES:
+                connection.fail("event too large")
+                return True
             if not events:
                 return True
             if not exchange.has_begun:
@@ -444,7 +465,7 @@
             return exchange.is_drained
 
         await connection.pipe_to(forward_events, exchange.drained)
-        if splitter.has_partial:
+        if splitter.partial_bytes:
             raise BrokenResponseError(
                 "stream ended in the middle of an event", "answer"
             )
--- a/packages/snipedeal-direct/src/snipedeal_direct/sse.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/sse.py
@@ -19,9 +19,9 @@
     _partial: bytes = b""
 
     @property
-    def has_partial(self) -> bool:
-        """Whether an incomplete event is buffered."""
-        return bool(self._partial)
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event that is buffered, 0 if there is none."""
+        return len(self._partial)
 
     def feed(self, data: bytes) -> bytes:
         """Buffer bytes; return the events that are now complete."""
--- /dev/null
+++ b/tests/test_endless_responses.py
@@ -0,0 +1,177 @@
+"""Targets that send bytes without end, in a head or a body, to both binaries."""
+
+import asyncio
+import time
+import tracemalloc
+
+import attrs
+import pytest
+
+from snipedeal_standins.edge import Edge
+from snipedeal_standins.endless import EndlessServer
+from snipedeal_standins.rawhttp import read_headers
+from snipedeal_standins.replica import Replica
+from snipedeal_standins.replica import ReplicaSpec
+
+#: Memory that one such response may take, far below what the target would send.
+MEMORY_LIMIT_BYTES = 8 * 1024 * 1024
+DEADLINE_MS = 1_500
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+EVENTS = OK + b"Content-Type: text/event-stream\r\n\r\n"
+FAILED = b"HTTP/1.1 500 Internal Server Error\r\n\r\n"
+DECLINED = b"HTTP/1.1 421 Misdirected Request\r\nSnipedeal-Not-Executed: 1\r\n\r\n"
+
+#: Start of the response and what is repeated without end.
+ENDLESS_HEADS = {
+    "no_protocol": (b"", b"\x16\x03\x01nothing that HTTP knows"),
+    "status_line": (b"HTTP/1.1 200 ", b"A"),
+    "header_value": (OK + b"X-Own: ", b"A"),
+    "headers": (OK, b"X-Own: a\r\n"),
+    "interim_responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+}
+ENDLESS_BODIES = {
+    "body": (OK + b"\r\n", b"A"),
+    "chunks": (CHUNKED, b"1\r\nA\r\n"),
+    "chunk_extension": (CHUNKED + b"1;", b"A"),
+    "trailers": (CHUNKED + b"1\r\nA\r\n0\r\n", b"X-Own: a\r\n"),
+    "trailer_value": (CHUNKED + b"1\r\nA\r\n0\r\nX-Own: ", b"A"),
+    "failure_body": (FAILED, b"A"),
+    "declined_body": (DECLINED, b"A"),
+}
+ENDLESS_STREAMS = {
+    "event": (EVENTS + b"id: 1\ndata: a\n\n", b"A"),
+    "first_event": (EVENTS, b"A"),
+}
+
+
+@attrs.frozen
+class Outcome:
+    """What became of one call, on all sides.
+
+    :param status: status that the caller got, 0 for none.
+    :param is_complete: whether the caller took the response for complete.
+    :param attempts: attempts at the target by outcome.
+    :param failure_share: smoothed share of failed answers of the target.
+    """
+
+    status: int
+    is_complete: bool
+    took_ms: float
+    peak_bytes: int
+    attempts: dict
+    failure_share: float
+
+
+async def read_to_end(reader):
+    """Read a response and discard its body; return status and completeness."""
+    line = await reader.readline()
+    if not line:
+        return 0, False
+    headers = await read_headers(reader)
+    length = headers.get("content-length")
+    try:
+        if length is not None:
+            await reader.readexactly(int(length))
+            return int(line.split()[1]), True
+        while size := int((await reader.readline()).strip() or b"0", 16):
+            await reader.readexactly(size + 2)
+    except (ValueError, OSError, asyncio.IncompleteReadError):
+        return int(line.split()[1]), False
+    return int(line.split()[1]), bool(await reader.readline())
+
+
+async def call_through_router(server, service, path):
+    """Send one call through a direct router whose only target is the server."""
+    edge = Edge()
+    try:
+        await edge.start([])
+        replica = edge.replicas["endless"] = Replica(ReplicaSpec("endless", service))
+        await replica.start()
+        edge.register(replica, address=server.address)
+        (router,) = edge.routers
+        await edge.wait_until(lambda: router.dispatcher.targets())
+        connection = edge.caller_connection()
+        tracemalloc.start()
+        started = time.monotonic()
+        headers = {
+            "Snipedeal-Deadline-Ms": str(DEADLINE_MS),
+            "Snipedeal-Token-Usage": "100,20",
+        }
+        await connection.send("POST", path, "c1", headers)
+        status, is_complete = await read_to_end(connection.reader)
+        took_ms = (time.monotonic() - started) * 1000
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        await edge.wait_until(lambda: not server.connections)
+        load = router.dispatcher.queues[service].targets["endless"]
+        attempts = {
+            sample.labels["outcome"]: sample.value
+            for metric in router.metrics.attempts.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
+        return Outcome(
+            status,
+            is_complete,
+            took_ms,
+            peak_bytes,
+            attempts,
+            load.health.failure_share(router.clock.now_ms()),
+        )
+    finally:
+        tracemalloc.stop()
+        await edge.close()
+
+
+def run_call(call, case, pause_s=0.0):
+    """Run one call against an endless server."""
+
+    async def scenario():
+        server = EndlessServer(*case, pause_s)
+        await server.start()
+        try:
+            async with asyncio.timeout(60):
+                return await call(server)
+        finally:
+            await server.close()
+
+    return asyncio.run(scenario())
+
+
+def check_bounded(outcome):
+    assert not (outcome.is_complete and outcome.status == 200)
+    # Two seconds of slack tell a bounded call from one that never ends.
+    assert outcome.took_ms < DEADLINE_MS + 2_000
+    assert outcome.peak_bytes < MEMORY_LIMIT_BYTES
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.2], ids=["fast", "slow"])
+@pytest.mark.parametrize("name", [*ENDLESS_HEADS, *ENDLESS_BODIES])
+def test_router_bounds_endless_response_of_a_plain_target(name, pause_s):
+    case = (ENDLESS_HEADS | ENDLESS_BODIES)[name]
+    outcome = run_call(
+        lambda server: call_through_router(server, "desk", "/change/x"), case, pause_s
+    )
+    check_bounded(outcome)
+    assert outcome.attempts
+    if name == "declined_body":
+        assert outcome.status == 503
+        assert outcome.attempts == {"declined": 1.0}
+    else:
+        assert outcome.status in (0, 200, 502, 504)
+        assert set(outcome.attempts) <= {"broken", "timeout"}
+        assert outcome.failure_share > 0
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.2], ids=["fast", "slow"])
+@pytest.mark.parametrize("name", ENDLESS_STREAMS)
+def test_router_bounds_endless_event_of_an_engine(name, pause_s):
+    outcome = run_call(
+        lambda server: call_through_router(server, "model", "/chat/x"),
+        ENDLESS_STREAMS[name],
+        pause_s,
+    )
+    check_bounded(outcome)
+    assert set(outcome.attempts) <= {"broken", "timeout"}
+    assert outcome.failure_share > 0
