Bound responses without end at the agent

A target in trouble may send bytes that are no answer without end. An agent's attempt then never ended: its slot and connection stayed taken after the caller's deadline.

Cause: requests to engines had no total timeout (only one between reads, which each byte restarts), and their events, failed responses and load reports were read without a limit; responses of plain services were kept in memory whole, whatever their size. An invalid response was requested again and then reported as a crash of the target.

Fix: requests to engines, resumed ones too, end at the caller's deadline; an event, a failed response, a load report and a plain response have size limits. Beyond these the connection is closed, the attempt ends as lost (it may have run), counted and logged, and is not requested again. A remaining time of zero no longer means no timeout.

--- a/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
@@ -11,6 +11,7 @@
 from snipedeal.exceptions import StreamUnknownError
 from snipedeal.exceptions import TargetError
 from snipedeal.exceptions import TargetLostError
+from snipedeal.exceptions import TargetResponseError
 from snipedeal.membership import TARGET
 from snipedeal.messages import AttemptFinished
 from snipedeal.messages import Cancel
@@ -42,6 +43,7 @@
 
     :param weight: the customer's share of the service.
     :param is_solo: whether nothing else may run on the target meanwhile.
+    :param deadline_ms: monotonic time at which its caller stops waiting.
     :param offset: number of chunks sent to the router so far.
     :param units: service units charged so far.
     :param retained_chunks: chunks kept in memory for a resumption, if the target
@@ -59,6 +61,7 @@
     router: str
     fingerprint: str
     is_idempotent: bool
+    deadline_ms: int
     is_solo: bool = False
     offset: int = 0
     units: float = 0.0
@@ -181,6 +184,7 @@
         if attempt is None:
             attempt = self._add_resumed_attempt(router, message)
         attempt.router = router
+        attempt.deadline_ms = self._node.clock.now_ms() + message.remaining_ms
         attempt.orphaned_since_ms = None
         self._node.events.add(
             "attempt.resumed", attempt.request, attempt=attempt.id, at=message.offset
@@ -245,6 +249,7 @@
             router,
             dispatch.fingerprint,
             dispatch.is_idempotent,
+            self._node.clock.now_ms() + dispatch.remaining_ms,
             dispatch.is_solo,
         )
         self._attempts[attempt.id] = attempt
@@ -266,6 +271,7 @@
             router,
             message.fingerprint,
             message.is_idempotent,
+            self._node.clock.now_ms() + message.remaining_ms,
         )
         self._attempts[attempt.id] = attempt
         return attempt
@@ -279,7 +285,7 @@
         try:
             await self._forward(attempt, events)
         except TargetLostError as error:
-            await self._resume_or_report_loss(attempt, str(error))
+            await self._resume_or_report_loss(attempt, error)
         except TargetError as error:
             self._agent.plugins["health"].mark_down()
             self._finish(attempt, "not_run", str(error))
@@ -291,10 +297,20 @@
         except StreamUnknownError as error:
             self._finish(attempt, "unknown", str(error))
         except TargetError as error:
-            await self._resume_or_report_loss(attempt, str(error))
+            await self._resume_or_report_loss(attempt, error)
 
-    async def _resume_or_report_loss(self, attempt: _Attempt, reason: str) -> None:
-        """Resume an interrupted stream, or report a lost stream or a crash."""
+    async def _resume_or_report_loss(
+        self, attempt: _Attempt, error: TargetError
+    ) -> None:
+        """Resume an interrupted stream, or report a lost stream or a crash.
+
+        An invalid response and one that lasts beyond the deadline are reported as
+        lost: the target may work for other requests.
+        """
+        reason = str(error)
+        if self._is_resumption_useless(attempt, error):
+            self._finish(attempt, "lost", reason)
+            return
         if self._agent.dialect.resume is None:
             is_up = await self._agent.plugins["health"].probe()
             self._finish(attempt, "lost" if is_up else "crashed", reason)
@@ -305,15 +321,24 @@
                 return
             except (StreamUnknownError, TargetError) as error:
                 reason = str(error)
+                if self._is_resumption_useless(attempt, error):
+                    self._finish(attempt, "lost", reason)
+                    return
                 if not isinstance(error, TargetLostError):
                     break
                 if not await self._agent.plugins["health"].probe():
                     break
         self._report_crash(reason)
 
+    def _is_resumption_useless(self, attempt: _Attempt, error: TargetError) -> bool:
+        """Return whether resuming a stream would not help its caller."""
+        is_late = self._node.clock.now_ms() >= attempt.deadline_ms
+        return is_late or isinstance(error, TargetResponseError)
+
     async def _resume_once(self, attempt: _Attempt) -> None:
         resume = t.cast(t.Any, self._agent.dialect.resume)
-        events = resume(self._agent.target, attempt.id, attempt.offset)
+        remaining_ms = attempt.deadline_ms - self._node.clock.now_ms()
+        events = resume(self._agent.target, attempt.id, attempt.offset, remaining_ms)
         await self._forward(attempt, events)
 
     async def _forward(
--- a/packages/snipedeal-agent/src/snipedeal_agent/dialects.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/dialects.py
@@ -10,6 +10,8 @@
 import aiohttp
 import attrs
 
+from snipedeal import defaults
+from snipedeal.exceptions import TargetResponseError
 from snipedeal.messages import Dispatch
 
 #: Response headers of the target that are not forwarded: those that apply to a single
@@ -78,13 +80,13 @@
     """Functions of a dialect.
 
     :param run: start an attempt and yield its events.
-    :param resume: yield the events of an attempt from a chunk offset, ``None``
-        if targets of this dialect can't resume.
+    :param resume: yield the events of an attempt from a chunk offset until the
+        remaining time, ms, is over; ``None`` if targets of this dialect can't resume.
     :param cancel: cancel an attempt, ``None`` if targets of this dialect can't.
     """
 
     run: t.Callable[[Target, Dispatch], t.AsyncIterator[TargetEvent]]
-    resume: t.Callable[[Target, str, int], t.AsyncIterator[TargetEvent]] | None
+    resume: t.Callable[[Target, str, int, int], t.AsyncIterator[TargetEvent]] | None
     cancel: t.Callable[[Target, str], t.Awaitable[None]] | None
 
 
@@ -109,3 +111,25 @@
         for name, value in headers.items()
         if name.lower() not in NOT_FORWARDED_HEADERS
     }
+
+
+def request_timeout(remaining_ms: int) -> aiohttp.ClientTimeout:
+    """Return the timeouts of a request whose caller waits for ``remaining_ms``."""
+    return aiohttp.ClientTimeout(
+        # aiohttp takes 0 for no timeout.
+        total=max(1, remaining_ms) / 1000,
+        sock_connect=defaults.TARGET_CONNECT_TIMEOUT_MS / 1000,
+    )
+
+
+async def read_short_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a failed response or of a load report.
+
+    :raises TargetResponseError: it exceeds ``TARGET_SHORT_BODY_LIMIT_BYTES``.
+    """
+    body = b""
+    while data := await response.content.readany():
+        body += data
+        if len(body) > defaults.TARGET_SHORT_BODY_LIMIT_BYTES:
+            raise TargetResponseError("body too large", "read", str(response.url))
+    return body
--- a/packages/snipedeal-agent/src/snipedeal_agent/health.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/health.py
@@ -7,8 +7,10 @@
 import aiohttp
 
 from snipedeal import defaults
+from snipedeal.exceptions import TargetResponseError
 from snipedeal.membership import TARGET
 from snipedeal.plugins import register_plugin
+from snipedeal_agent.dialects import read_short_body
 
 if t.TYPE_CHECKING:
     from snipedeal_agent.agent import Agent
@@ -69,8 +71,14 @@
             async with self._agent.target.session.get(url, timeout=timeout) as response:
                 if response.status != _HTTP_OK:
                     return None
-                return json.loads(await response.read())
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+                return json.loads(await read_short_body(response))
+        except (
+            aiohttp.ClientError,
+            TargetResponseError,
+            TimeoutError,
+            OSError,
+            ValueError,
+        ):
             return None
 
     def _update_slots(self, load: dict[str, t.Any]) -> None:
--- a/packages/snipedeal-agent/src/snipedeal_agent/openai.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/openai.py
@@ -4,12 +4,14 @@
 import typing as t
 
 import aiohttp
+import attrs
 import msgspec
 
 from snipedeal import defaults
 from snipedeal.exceptions import StreamUnknownError
 from snipedeal.exceptions import TargetError
 from snipedeal.exceptions import TargetLostError
+from snipedeal.exceptions import TargetResponseError
 from snipedeal.messages import Dispatch
 from snipedeal_agent.dialects import DIALECTS
 from snipedeal_agent.dialects import Chunks
@@ -19,7 +21,9 @@
 from snipedeal_agent.dialects import TargetEvent
 from snipedeal_agent.dialects import Usage
 from snipedeal_agent.dialects import forwarded_headers
+from snipedeal_agent.dialects import read_short_body
 from snipedeal_agent.dialects import request_headers
+from snipedeal_agent.dialects import request_timeout
 
 _DATA_PREFIX = b"data: "
 _EVENT_END = b"\n\n"
@@ -52,17 +56,21 @@
     headers = request_headers(dispatch)
     body = _as_streaming_body(dispatch.body)
     request = target.session.post(
-        target.url + dispatch.path, data=body, headers=headers, timeout=_timeout()
+        target.url + dispatch.path,
+        data=body,
+        headers=headers,
+        timeout=_timeout(dispatch.remaining_ms),
     )
     async for event in _read(target, request):
         yield event
 
 
 async def resume(
-    target: Target, attempt: str, offset: int
+    target: Target, attempt: str, offset: int, remaining_ms: int
 ) -> t.AsyncIterator[TargetEvent]:
     """Read the stream of an attempt from a chunk offset.
 
+    :param remaining_ms: time left until the caller's deadline.
     :raises StreamUnknownError: the engine does not know the attempt.
     :raises TargetError: the connection could not be opened.
     :raises TargetLostError: the engine is unavailable, or the connection was lost
@@ -71,7 +79,7 @@
     request = target.session.get(
         f"{target.url}/v1/streams/{attempt}",
         params={"offset": str(offset)},
-        timeout=_timeout(),
+        timeout=_timeout(remaining_ms),
     )
     async for event in _read(target, request, is_resume=True):
         yield event
@@ -99,12 +107,14 @@
                 raise TargetLostError("the engine is down", "run", target.url)
             yield ResponseStart(response.status, forwarded_headers(response.headers))
             if response.status != _HTTP_OK:
-                yield Chunks([await response.read()], 0.0)
+                yield Chunks([await read_short_body(response)], 0.0)
                 return
             async for event in _read_events(response, target):
                 yield event
     except aiohttp.ClientConnectorError as error:
         raise TargetError(f"no connection: {error}", "connect", target.url) from error
+    except aiohttp.ClientResponseError as error:
+        raise TargetResponseError(str(error), "stream", target.url) from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         reason = str(error) or type(error).__name__
         raise TargetLostError(reason, "stream", target.url) from error
@@ -119,6 +129,8 @@
         if not data:
             raise TargetLostError("the stream ended early", "stream", target.url)
         *blocks, remainder = (remainder + data).split(_EVENT_END)
+        if len(remainder) > defaults.TARGET_EVENT_LIMIT_BYTES:
+            raise TargetResponseError("event too large", "stream", target.url)
         payloads = [
             b[len(_DATA_PREFIX) :] for b in blocks if b.startswith(_DATA_PREFIX)
         ]
@@ -159,12 +171,9 @@
     return Usage(usage.prompt_tokens, usage.completion_tokens)
 
 
-def _timeout() -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(
-        total=None,
-        sock_connect=defaults.TARGET_CONNECT_TIMEOUT_MS / 1000,
-        sock_read=defaults.TARGET_READ_TIMEOUT_MS / 1000,
-    )
+def _timeout(remaining_ms: int) -> aiohttp.ClientTimeout:
+    sock_read_s = defaults.TARGET_READ_TIMEOUT_MS / 1000
+    return attrs.evolve(request_timeout(remaining_ms), sock_read=sock_read_s)
 
 
 DIALECTS["openai"] = Dialect(run, resume, cancel)
--- a/packages/snipedeal-agent/src/snipedeal_agent/plain.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/plain.py
@@ -8,6 +8,7 @@
 from snipedeal import defaults
 from snipedeal.exceptions import TargetError
 from snipedeal.exceptions import TargetLostError
+from snipedeal.exceptions import TargetResponseError
 from snipedeal.messages import Dispatch
 from snipedeal_agent.dialects import DIALECTS
 from snipedeal_agent.dialects import Chunks
@@ -17,6 +18,7 @@
 from snipedeal_agent.dialects import TargetEvent
 from snipedeal_agent.dialects import forwarded_headers
 from snipedeal_agent.dialects import request_headers
+from snipedeal_agent.dialects import request_timeout
 
 
 async def run(target: Target, dispatch: Dispatch) -> t.AsyncIterator[TargetEvent]:
@@ -24,13 +26,9 @@
 
     :raises TargetError: the connection could not be opened, so nothing ran.
     :raises TargetLostError: the connection was lost before the response was
-        complete, or the deadline passed.
+        complete, the response is invalid or too large, or the deadline passed.
     """
     headers = request_headers(dispatch)
-    timeout = aiohttp.ClientTimeout(
-        total=dispatch.remaining_ms / 1000,
-        sock_connect=defaults.TARGET_CONNECT_TIMEOUT_MS / 1000,
-    )
     started = time.monotonic()
     try:
         async with target.session.request(
@@ -38,14 +36,20 @@
             target.url + dispatch.path,
             data=dispatch.body,
             headers=headers,
-            timeout=timeout,
+            timeout=request_timeout(dispatch.remaining_ms),
             allow_redirects=False,
         ) as response:
             yield ResponseStart(response.status, forwarded_headers(response.headers))
+            size = 0
             async for chunk in response.content.iter_chunked(defaults.BODY_CHUNK_BYTES):
+                size += len(chunk)
+                if size > defaults.TARGET_BODY_LIMIT_BYTES:
+                    raise TargetResponseError("body too large", "call", target.url)
                 yield Chunks([chunk], 0.0)
     except aiohttp.ClientConnectorError as error:
         raise TargetError(f"no connection: {error}", "connect", target.url) from error
+    except aiohttp.ClientResponseError as error:
+        raise TargetResponseError(str(error), "call", target.url) from error
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         reason = str(error) or type(error).__name__
         raise TargetLostError(reason, "call", target.url) from error
--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -95,6 +95,11 @@
 FINISHED_ATTEMPT_RETENTION_MS = 60_000
 FINISHED_ATTEMPTS_LIMIT = 2_000
 BODY_CHUNK_BYTES = 65_536
+# Largest load report or body of a failed response, event of a stream, and response of a
+# plain service that an agent accepts; a target in trouble may send bytes without end.
+TARGET_SHORT_BODY_LIMIT_BYTES = 65_536
+TARGET_EVENT_LIMIT_BYTES = 262_144
+TARGET_BODY_LIMIT_BYTES = 16_777_216
 AGENT_FLUSH_INTERVAL_MS = 3
 
 # -- orders to targets ---------------------------------------------------------
--- a/packages/snipedeal/src/snipedeal/exceptions.py
+++ b/packages/snipedeal/src/snipedeal/exceptions.py
@@ -68,6 +68,13 @@
     """The connection to a target was lost before the response was complete."""
 
 
+class TargetResponseError(TargetLostError):
+    """A target's response is invalid or too large; the request may have run.
+
+    The connection is closed, and the response is not requested again.
+    """
+
+
 class StreamUnknownError(TargetError):
     """A target does not know the stream that should be resumed."""
 
