Count a call's own prompt only beyond all shares

Large calls within the share of what is served still found no room: their own prompt counted against the smaller capacity, so that only nearly idle engines took them.

The rule now holds for calls beyond both shares only, for which it was made.

--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -339,7 +339,7 @@
         # Pending prefill counts as all slots in use: the engine is not idle.
         used = load.running / slots if pending_tokens <= 0 else 1.0
         tier = self._tier(call)
-        if tier and used >= defaults.IDLE_SLOT_FRACTION:
+        if tier is Tier.BEYOND_SHARES and used >= defaults.IDLE_SLOT_FRACTION:
             if used >= defaults.DEFERRAL_SLOT_FRACTION and self._is_deferred(
                 call, now_ms
             ):
