--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -475,7 +475,7 @@
             return exchange.is_drained
 
         await connection.pipe_to(forward_events, exchange.drained)
-        if splitter.partial_bytes:
+        if splitter.has_partial:
             raise BrokenResponseError(
                 "stream ended in the middle of an event", "answer"
             )
--- a/packages/snipedeal-direct/src/snipedeal_direct/sse.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/sse.py
@@ -18,9 +18,14 @@
     last_id: bytes = b""
     _partial: bytes = b""
 
+    @property
+    def has_partial(self) -> bool:
+        """Whether an incomplete event is buffered."""
+        return bool(self._partial)
+
     @property
     def partial_bytes(self) -> int:
-        """Size of the incomplete event that is buffered, 0 if there is none."""
+        """Size of the incomplete event that is buffered."""
         return len(self._partial)
 
     def feed(self, data: bytes) -> bytes:
