Charge a prompt at an agent once its target responds

The prompt is now charged with the head of the response; until then the reservation made on admission counts, and ends with the attempt.

--- a/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
@@ -279,11 +279,9 @@
     # -- running -------------------------------------------------------------
 
     async def _run(self, attempt: _Attempt, dispatch: Dispatch) -> None:
-        if dispatch.prompt_units:
-            self._charge(attempt, dispatch.prompt_units)
         events = self._agent.dialect.run(self._agent.target, dispatch)
         try:
-            await self._forward(attempt, events)
+            await self._forward(attempt, events, dispatch.prompt_units)
         except TargetLostError as error:
             await self._resume_or_report_loss(attempt, error)
         except TargetError as error:
@@ -342,10 +340,19 @@
         await self._forward(attempt, events)
 
     async def _forward(
-        self, attempt: _Attempt, events: t.AsyncIterator[TargetEvent]
+        self,
+        attempt: _Attempt,
+        events: t.AsyncIterator[TargetEvent],
+        prompt_units: float = 0.0,
     ) -> None:
+        """Send a response to the router and charge for it.
+
+        :param prompt_units: charged once the target responds. Until then the
+            reservation counts, which ends if the target did not run the request.
+        """
         async for event in events:
             if isinstance(event, ResponseStart):
+                self._charge(attempt, prompt_units)
                 attempt.status = event.status
                 attempt.headers = event.headers
             elif isinstance(event, Chunks):
