Do not give tests one port twice

Two tests had failed once with "address already in use" when a router bound a port. The routers' stand-in drew each port by binding port 0 and closing it again, so that the kernel could return it for the next draw, or for an outgoing connection meanwhile. All stand-ins now draw from one cycle of ports below the ephemeral range, as the fleet's did already.

--- a/packages/snipedeal-standins/src/snipedeal_standins/edge.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 import typing as t
 
 import attrs
@@ -14,6 +13,7 @@
 from snipedeal_direct.settings import DirectSettings
 from snipedeal_direct.settings import SourceSettings
 from snipedeal_standins.metastore import MetaStore
+from snipedeal_standins.ports import free_port
 from snipedeal_standins.rawhttp import read_chunks
 from snipedeal_standins.rawhttp import read_headers
 from snipedeal_standins.replica import Replica
@@ -170,13 +170,6 @@
         return await self.receive()
 
 
-def free_port() -> int:
-    """Return a loopback port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Edge:
     """Run a simulated store and replicas with real routers in front of them."""
 
--- a/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
@@ -23,8 +23,8 @@
 from snipedeal_standins.edge import CallerConnection
 from snipedeal_standins.edge import Response
 from snipedeal_standins.edge import configuration
-from snipedeal_standins.edge import free_port
 from snipedeal_standins.metastore import MetaStore
+from snipedeal_standins.ports import free_port
 from snipedeal_standins.replica import Replica
 from snipedeal_standins.replica import ReplicaSpec
 
--- a/packages/snipedeal-standins/src/snipedeal_standins/fleet.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/fleet.py
@@ -1,12 +1,10 @@
 """Run a fleet of real processes on this machine and inject faults into it."""
 
 import asyncio
-import itertools
 import json
 import os
 import pathlib
 import signal
-import socket
 import sys
 import time
 import typing as t
@@ -17,13 +15,11 @@
 from snipedeal_standins.plans import FleetPlan
 from snipedeal_standins.plans import RouterPlan
 from snipedeal_standins.plans import TargetPlan
+from snipedeal_standins.ports import free_port
 
 _READY_TIMEOUT_S = 30.0
 _CLOSE_TIMEOUT_S = 10.0
 _POLL_INTERVAL_S = 0.05
-_FIRST_PORT = 10_000
-_LAST_PORT = 32_000
-_PORT_STRIDE = 211  # distance between the first ports of consecutive process ids
 
 
 @attrs.define(eq=False)
@@ -403,32 +399,6 @@
             answer.raise_for_status()
 
 
-def _candidate_ports() -> t.Iterator[int]:
-    """Return an endless cycle of ports below the ephemeral port range.
-
-    The process id sets the start, so that concurrent test processes try different
-    ports first.
-    """
-    size = _LAST_PORT - _FIRST_PORT
-    start = os.getpid() * _PORT_STRIDE % size
-    return (_FIRST_PORT + (start + n) % size for n in itertools.count())
-
-
-_port_candidates = _candidate_ports()
-
-
-def free_port() -> int:
-    """Return a loopback TCP port that is free at the time of the call."""
-    for port in _port_candidates:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError("no free TCP port on the loopback interface")
-
-
 def _loopback_address(port: int) -> str:
     return f"127.0.0.1:{port}"
 
