--- a/packages/snipedeal-direct/src/snipedeal_direct/journal.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/journal.py
@@ -39,10 +39,8 @@
         """Queue the line of a record."""
         fields = getattr(record, "fields", None)
         names_request = fields is not None and "request" in fields
-        is_over_rate = self.is_over_rate()
-        if (names_request and is_over_rate) or len(
-            self._lines
-        ) >= defaults.LOG_QUEUE_LINES:
+        is_over_rate = self.is_over_rate() and names_request
+        if is_over_rate or len(self._lines) >= defaults.LOG_QUEUE_LINES:
             self.dropped += 1
             return
         self._window_lines += 1
