--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -334,3 +334,32 @@
     queue.add(make_call(1, 0.0, customer="rich", tokens=100), 0.0)
     assert queue.dispatch(0.0) == []
     assert queue.underserved_stage(defaults.UNDERSERVED_MS + 1) == 6
+
+
+def make_tiered_queue():
+    """Return a queue where ``poor`` is beyond the configured share only.
+
+    ``rich`` is beyond the share of what is served as well, and ``new`` beyond neither.
+    """
+    queue = make_scarce_queue(running=8)
+    queue.shares.update(100_000.0, 0.0)
+    load = queue.targets["t0"]
+    load.set_peer("router-b", type(load.own)(prefill_tokens=1_000.0, running=8))
+    return queue
+
+
+@pytest.mark.parametrize(
+    ("customer", "is_sent"), [("new", True), ("poor", True), ("rich", False)]
+)
+def test_large_call_within_the_achieved_share_finds_room(customer, is_sent):
+    queue = make_tiered_queue()
+    call = make_call(1, 0.0, 8_000, target_latency_ms=5_000.0, customer=customer)
+    assert queue.add(call, 0.0) is None
+    assert bool(queue.dispatch(0.0)) is is_sent
+
+
+@pytest.mark.parametrize(("customer", "is_refused"), [("new", False), ("poor", True)])
+def test_call_beyond_the_configured_share_is_not_accepted_late(customer, is_refused):
+    queue = make_tiered_queue()
+    late_call = make_call(1, 0.0, 24_000, target_latency_ms=500.0, customer=customer)
+    assert (queue.add(late_call, 0.0) is not None) is is_refused
