--- a/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
@@ -35,7 +35,8 @@
     """The sender's queue for one service.
 
     :param queued_tokens: queued prompt tokens by slack class, that is by the time
-        until they must start (``SLACK_CLASSES_MS``).
+        until they must start (``SLACK_CLASSES_MS``), then those of calls that are
+        late and those of each tier beyond the configured share.
     :param underserved_stage: lowest stage (quarters of its share already served) of a
         customer that is underserved there.
     """
