Log crashes of targets and the calls that were unanswered there

The logs could not tell a crashed target from a reset connection, nor what the calls of two crashes have in common. A router now connects once to a target on which an unanswered call broke; if the address refuses, it logs target.crashed with these calls and the shared parts of their prompts, and counts snipedeal_direct_target_crashes. No decision uses it yet.

The stand-in replica crashes on given prompt parts and comes back as a new instance.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -75,6 +75,13 @@
 #: Half-life of the share of failed answers while no new ones arrive, ms.
 FAILURE_HALF_LIFE_MS = 2_000
 
+# -- crashes of targets -------------------------------------------------------
+#: Time after its first event from which a stream counts as answered, ms; several steps
+#: of an engine.
+SETTLE_MS = 250.0
+#: Timeout of the connect that tells a crashed target from a reset connection, ms.
+CRASH_PROBE_TIMEOUT_MS = 300
+
 # -- queueing at the router ---------------------------------------------------
 #: Shortest delay from an event to the next dispatch, ms; batches events.
 DISPATCH_DELAY_MS = 2
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -8,6 +8,7 @@
 
 from snipedeal.exceptions import SnipedealError
 from snipedeal_direct import defaults
+from snipedeal_direct.crashes import Attempt
 from snipedeal_direct.dispatching import RefusedError
 from snipedeal_direct.egress import BrokenResponseError
 from snipedeal_direct.egress import ConnectError
@@ -348,6 +349,8 @@
             (target.host, target.port), max_idle_s=max_idle_s
         )
         call.attempts += 1
+        crashes = self._router.crashes
+        attempt = crashes.begin(call, target)
         try:
             connection.send(
                 self._render_request(call, target.id), call.method == "HEAD"
@@ -367,19 +370,25 @@
                 )
             if not 200 <= head.status < 300:
                 body = await self._read_body(connection)
+                crashes.settle(attempt)
                 self._router.dispatcher.note_answer(dispatched, head.status < 500)
                 self._log_attempt(call, dispatched, f"status_{head.status}")
                 return _FailedResponse(head, body)
             if (head.get(b"content-type") or b"").startswith(_EVENT_STREAM):
                 await self._forward_stream(
-                    exchange, call, connection, dispatched, splitter
+                    exchange, attempt, connection, dispatched, splitter
                 )
             else:
                 await self._forward_response(exchange, call, connection, dispatched)
+            crashes.settle(attempt)
             self._router.dispatcher.note_answer(dispatched, True)
             self._log_attempt(call, dispatched, "whole")
             return None
+        except BrokenResponseError:
+            await crashes.examine(attempt)
+            raise
         finally:
+            crashes.end(attempt)
             self._router.pool.release(connection)
 
     def _check_request_id(
@@ -445,7 +454,7 @@
     async def _forward_stream(
         self,
         exchange: Exchange,
-        call: Call,
+        attempt: Attempt,
         connection: Connection,
         dispatched: Dispatched,
         splitter: EventSplitter,
@@ -454,6 +463,7 @@
 
         Only complete events are written, so that another target can resume it.
         """
+        call = attempt.call
         head = await connection.head()
         splitter.drop_partial()
 
@@ -472,6 +482,7 @@
             exchange.write(events)
             if splitter.last_id:
                 call.last_event_id = splitter.last_id
+            self._router.crashes.note_event(attempt)
             return exchange.is_drained
 
         await connection.pipe_to(forward_events, exchange.drained)
--- a/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
@@ -36,6 +36,12 @@
             ["service", "verdict"],
             registry=self.registry,
         )
+        self.target_crashes = Counter(
+            "snipedeal_direct_target_crashes",
+            "Crashes of targets while calls of this router were unanswered there.",
+            ["service"],
+            registry=self.registry,
+        )
         self.queue_wait = Histogram(
             "snipedeal_direct_queue_wait_seconds",
             "Time from arrival to the send to a target.",
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -11,6 +11,7 @@
 from snipedeal.exceptions import RecordError
 from snipedeal.exceptions import SettingsError
 from snipedeal_direct import defaults
+from snipedeal_direct.crashes import CrashWatch
 from snipedeal_direct.dispatching import Dispatcher
 from snipedeal_direct.egress import Pool
 from snipedeal_direct.following import FeedTracker
@@ -69,6 +70,7 @@
         self._source = _load_source_factory(settings)(self, events)
         self.peers = Peers(self)
         self.dispatcher.on_sent = self.peers.queue_prompt_parts
+        self.crashes = CrashWatch(self)
         self.forwarder = Forwarder(self)
         self._ingress = IngressServer(
             self.clock,
@@ -127,6 +129,7 @@
         # Accept no connections while the awaits below run.
         self._ingress.stop_listening()
         await self.forwarder.close()
+        await self.crashes.close()
         await self._source.close()
         await self._ingress.close()
         await self.dispatcher.close()
--- a/packages/snipedeal-standins/src/snipedeal_standins/edge.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge.py
@@ -21,6 +21,8 @@
 
 HOST = "callers.example"
 API_KEY = "key-one"
+#: Time after which a crashed replica is back, s.
+RESTART_DELAY_S = 0.3
 CUSTOMER = "one"
 
 
@@ -176,6 +178,8 @@
     def __init__(self) -> None:
         self.store = MetaStore()
         self.replicas: dict[str, Replica] = {}
+        self.crashed: list[Replica] = []
+        self._restarts: set[asyncio.Task[None]] = set()
         self.routers: list[DirectRouter] = []
         self._caller_connections: list[CallerConnection] = []
 
@@ -195,6 +199,8 @@
 
     async def close(self) -> None:
         """Stop everything."""
+        for task in list(self._restarts):
+            task.cancel()
         for connection in self._caller_connections:
             await connection.close()
         for router in self.routers:
@@ -220,11 +226,27 @@
     async def add_replica(self, spec: ReplicaSpec, port: int = 0) -> Replica:
         """Start and register a replica."""
         replica = Replica(spec)
+        replica.on_crash = self._on_crash
         await replica.start(port)
         self.replicas[spec.id] = replica
         self.register(replica)
         return replica
 
+    def _on_crash(self, replica: Replica) -> None:
+        task = asyncio.create_task(self._restart_replica(replica))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_replica(self, replica: Replica) -> None:
+        """Replace a crashed replica by one with another ID at the same address."""
+        self.crashed.append(self.replicas.pop(replica.spec.id))
+        port = int(replica.address.rpartition(":")[2])
+        await asyncio.sleep(RESTART_DELAY_S)
+        self.unregister(replica)
+        name = f"{replica.spec.id.partition('+')[0]}+{len(self.crashed)}"
+        restarted = await self.add_replica(attrs.evolve(replica.spec, id=name), port)
+        restarted.faults = replica.faults
+
     async def add_router(self) -> DirectRouter:
         """Start a router."""
         router = make_router(f"router-{len(self.routers)}", self.store.address)
@@ -241,7 +263,8 @@
 
     def runs(self) -> list[t.Any]:
         """Return the runs of all replicas."""
-        return [run for replica in self.replicas.values() for run in replica.runs]
+        replicas = [*self.replicas.values(), *self.crashed]
+        return [run for replica in replicas for run in replica.runs]
 
     async def wait_until(self, check: t.Callable[[], bool]) -> None:
         """Wait until ``check`` returns true; raise ``TimeoutError`` after 30 s."""
--- a/packages/snipedeal-standins/src/snipedeal_standins/rawhttp.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/rawhttp.py
@@ -44,23 +44,22 @@
 
 
 class RawServer:
-    """Pass complete requests to a handler, one at a time per connection."""
+    """Pass complete requests to a handler, one at a time per connection.
+
+    :ivar port: port that the server listens on, also once it is closed.
+    """
 
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[t.Any]] = set()
         self.connections = 0
-
-    @property
-    def port(self) -> int:
-        """The port that the server listens on."""
-        assert self._server is not None
-        return self._server.sockets[0].getsockname()[1]
+        self.port = 0
 
     async def start(self, port: int = 0) -> None:
         """Listen on loopback; port 0 picks a free one."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """Stop listening and abort open connections."""
--- a/packages/snipedeal-standins/src/snipedeal_standins/replica.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/replica.py
@@ -72,11 +72,14 @@
         without a length; ``declined`` reports that the request was not executed.
         ``extra`` and ``unframed`` do not affect streams.
     :param after_events: number of events sent before a stream is reset.
+    :param crashing_parts: IDs of prompt parts, not the last of a prompt, that crash the
+        replica when it begins to answer; not limited by ``count``.
     """
 
     mode: str = ""
     count: int = 0
     after_events: int = 2
+    crashing_parts: set[str] = attrs.Factory(set)
 
 
 class Replica:
@@ -88,6 +91,9 @@
         self.runs: list[Run] = []
         self.arrivals = 0
         self.running = 0
+        self.is_crashed = False
+        self.on_crash: t.Callable[[Replica], None] = lambda replica: None
+        self._crash_task: asyncio.Task[None] | None = None
         self._slots = asyncio.Semaphore(spec.slots)
         self._prefill_lock = asyncio.Lock()
         self._cached_parts: set[str] = set()
@@ -127,6 +133,13 @@
         """Stop serving and abort open connections."""
         await self._server.close()
 
+    def crash(self) -> None:
+        """End at once: refuse connections and reset the open ones."""
+        if not self.is_crashed:
+            self.is_crashed = True
+            self._crash_task = asyncio.create_task(self._server.close())
+            self.on_crash(self)
+
     async def _handle(self, request: RawRequest, writer: t.Any) -> None:
         self.arrivals += 1
         headers = request.headers
@@ -170,6 +183,10 @@
         if self.spec.read_rate:
             await self._prefill(run)
             self.runs.append(run)
+            parts = _parse_prompt_prefix(run.headers)
+            if any(part in self.faults.crashing_parts for part, _ in parts[:-1]):
+                self.crash()
+                await asyncio.sleep(3600)
             await self._send_stream(run, mode, writer)
         else:
             self.runs.append(run)
