--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,13 +1,19 @@
 """Targets that crash, before direct routers."""
 
+import asyncio
+
 import attrs
 import pytest
 from test_direct import MODEL
 from test_direct import on_edge
 
 from snipedeal_direct import crashes
+from snipedeal_standins.replica import ReplicaSpec
 
 CRASHING = "deadbeef"
+FIVE_MODELS = [
+    ReplicaSpec(f"model-{i}", "model", slots=64, read_rate=200.0) for i in range(5)
+]
 
 
 def prompt(*parts):
@@ -73,3 +79,40 @@
 
     play()
     assert events.named("target.crashed") == []
+
+
+#: Targets that may end by requests with one part before it must be contained, and
+#: requests with it that may reach targets after that.
+CRASHES_UNTIL_CONTAINED = 5
+REQUESTS_AFTER_CONTAINED = 3
+
+
+async def send_prompt(edge, router, request_id, *parts):
+    """Send a stream request on a connection of its own; return the answer."""
+    connection = edge.caller_connection(router)
+    answer = await connection.request("POST", "/chat/x", request_id, prompt(*parts))
+    await connection.close()
+    return answer
+
+
+def runs_with(edge, part):
+    name = "snipedeal-prompt-prefix"
+    return [run for run in edge.runs() if f"{part}:" in run.headers[name]]
+
+
+@on_edge(FIVE_MODELS, routers=3)
+async def test_requests_with_one_crashing_part_do_not_crash_target_after_target(edge):
+    set_crashing(edge)
+    sound = []
+    for number in range(20):
+        router = number % 3
+        await send_prompt(
+            edge, router, f"bad-{number}", "first", f"b{number}", CRASHING
+        )
+        sound.append(
+            await send_prompt(edge, router, f"good-{number}", "first", f"g{number}")
+        )
+        await asyncio.sleep(0.1)
+    limit = CRASHES_UNTIL_CONTAINED + REQUESTS_AFTER_CONTAINED
+    assert len(runs_with(edge, CRASHING)) <= limit
+    assert [answer.status for answer in sound[10:]] == [200] * 10
