Quarantine the requests that crash targets, at routers that forward themselves

Cause: the router judged targets only. Nothing linked the calls of two crashes, so each call with the part was sent to the next target. Class: a fault of the work is blamed on the worker.

No call was sent on by a router after it had run.

Change: crashes are recorded with the traits of the calls that were unanswered, shared by gossip as a merge that bears loss, delay and repeats, cleared by answers, and lead to a quarantine after two successive crashes (docs/design/crashing-requests.md). Waiting calls are refused, unanswered ones broken off. It works since the part is the only trait that is in all crashes and never answered.

--- a/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
@@ -1,15 +1,26 @@
-"""Detect crashes of targets and the calls that may have caused them."""
+"""Detect crashes of targets, and keep requests that cause them from other targets."""
 
 import asyncio
 import contextlib
 import typing as t
 
 import attrs
+import xxhash
 
+from snipedeal.quarantine import Crash
+from snipedeal.quarantine import CrashEvidence
+from snipedeal.quarantine import Standing
+from snipedeal.quarantine import Trait
+from snipedeal.utils import rank_by_rendezvous
+from snipedeal.utils import rendezvous_owner
+from snipedeal.utils import stable_hash
 from snipedeal_direct import defaults
+from snipedeal_direct.gossip import CrashReport
 from snipedeal_direct.journal import info
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import Target
+from snipedeal_direct.queueing import Refusal
+from snipedeal_direct.queueing import retry_after_s
 
 if t.TYPE_CHECKING:
     from snipedeal_direct.router import DirectRouter
@@ -19,14 +30,20 @@
 class Attempt:
     """A call sent to a target, until its connection is released.
 
+    :param abort: breaks off the attempt, for a reason.
+    :param repeated: traits of the call that were suspects when it was sent.
     :param first_event_ms: monotonic time of its first event, ``None`` before it.
     :param is_settled: whether the target has answered the call, and so survived it.
+    :param refusal: why it was broken off, ``None`` if it was not.
     """
 
     call: Call
     target: Target
+    abort: t.Callable[[str], None]
+    repeated: frozenset[Trait] = frozenset()
     first_event_ms: float | None = None
     is_settled: bool = False
+    refusal: Refusal | None = None
 
 
 @attrs.define(eq=False)
@@ -42,7 +59,7 @@
 
 
 class CrashWatch:
-    """Track attempts and name those that were unanswered when their target crashed.
+    """Track attempts and quarantine the traits of requests that crash targets.
 
     A broken connection alone is no crash: a target may reset one connection and serve
     the others. A target whose address then refuses connections has crashed.
@@ -51,9 +68,14 @@
     """
 
     def __init__(self, router: "DirectRouter") -> None:
+        self.evidence = CrashEvidence()
+        self._router = router
         self._clock = router.clock
         self._metrics = router.metrics
         self._instances: dict[str, _Instance] = {}
+        self._quarantined: frozenset[Trait] = frozenset()
+        # Own findings that are still to be sent again, and how often.
+        self._resends: dict[str, int] = {}
 
     async def close(self) -> None:
         """Stop all probes."""
@@ -61,9 +83,37 @@
             if instance.probe is not None:
                 instance.probe.cancel()
 
-    def begin(self, call: Call, target: Target) -> Attempt:
-        """Track a call from now on, which is sent to a target."""
-        attempt = Attempt(call, target)
+    # -- calls -----------------------------------------------------------------------
+
+    def refuse(self, call: Call) -> Refusal | None:
+        """Refuse a call with a trait in quarantine, unless it may probe the trait."""
+        if call.is_probe or not self.evidence.quarantined:
+            return None
+        traits = call_traits(call)
+        now_ms = self._clock.now_ms()
+        left_ms = self.evidence.quarantine_ms(traits, now_ms)
+        if left_ms is None:
+            return None
+        if not call.attempts and self.evidence.begin_probe(traits, self._owns, now_ms):
+            call.is_probe = True
+            info("quarantine.probed", request=call.id)
+            return None
+        return _refusal(call, left_ms)
+
+    def _owns(self, trait: Trait) -> bool:
+        names = self._router.peers.live_names
+        return rendezvous_owner(str(trait), names) == self._router.settings.name
+
+    def begin(
+        self, call: Call, target: Target, abort: t.Callable[[str], None]
+    ) -> Attempt:
+        """Track a call from now on, which is sent to a target.
+
+        :param abort: breaks off the attempt, for a reason.
+        """
+        attempt = Attempt(call, target, abort)
+        if self.evidence.crashes:
+            attempt.repeated = self.evidence.repeated(call_traits(call))
         instance = self._instances.setdefault(_instance_id(target), _Instance(target))
         instance.unsettled.add(attempt)
         return attempt
@@ -82,21 +132,34 @@
             self.settle(attempt)
 
     def settle(self, attempt: Attempt) -> None:
-        """Record that a target has answered a call."""
+        """Record that a target has answered a call; this clears the call's traits."""
+        if attempt.is_settled:
+            return
         attempt.is_settled = True
         self.end(attempt)
+        if self.evidence.crashes:
+            now_ms = self._clock.now_ms()
+            changed = self.evidence.clear(call_traits(attempt.call), now_ms)
+            if changed:
+                self._broadcast(changed)
+                self._act_on_verdicts()
 
     def end(self, attempt: Attempt) -> None:
         """Stop tracking an attempt."""
-        key = _instance_id(attempt.target)
-        instance = self._instances.get(key)
+        instance = self._instances.get(_instance_id(attempt.target))
         if instance is not None:
             instance.unsettled.discard(attempt)
-            if not instance.unsettled and instance.probe is None:
-                del self._instances[key]
+            self._forget_if_idle(instance)
+
+    def _forget_if_idle(self, instance: _Instance) -> None:
+        if not instance.unsettled and instance.probe is None:
+            self._instances.pop(_instance_id(instance.target), None)
+
+    # -- crashes ---------------------------------------------------------------------
 
     async def examine(self, attempt: Attempt) -> None:
         """Find out whether the target of a broken attempt has crashed."""
+        attempt.call.is_probe = False
         instance = self._instances.get(_instance_id(attempt.target))
         if attempt.is_settled or instance is None:
             return
@@ -104,35 +167,147 @@
             instance.probe = asyncio.create_task(self._probe(instance))
         await asyncio.shield(instance.probe)
 
+    def apply(self, report: CrashReport) -> None:
+        """Apply what a peer knows of a crash."""
+        standings = dict(report.standings)
+        now_ms = self._clock.now_ms()
+        if self.evidence.merge(report.instance, standings, now_ms, report.age_ms):
+            self._act_on_verdicts()
+
+    def expire(self) -> None:
+        """Forget old crashes."""
+        if self.evidence.crashes:
+            self.evidence.expire(self._clock.now_ms())
+            self._act_on_verdicts()
+
+    def reports_due(self, is_refresh: bool) -> list[CrashReport]:
+        """Return the crashes to report to peers again, in case a datagram was lost.
+
+        Own findings are sent a few times. With each refresh, a few routers repeat each
+        crash, also for routers that were started since.
+        """
+        if not self.evidence.crashes:
+            return []
+        due = set(self._resends)
+        self._resends = {
+            key: left - 1 for key, left in self._resends.items() if left > 1
+        }
+        if is_refresh:
+            names = self._router.peers.live_names
+            for crash in self.evidence.crashes:
+                ranked = rank_by_rendezvous(crash.instance, names)
+                if self._router.settings.name in ranked[: defaults.CRASH_REPEATERS]:
+                    due.add(crash.instance)
+        now_ms = self._clock.now_ms()
+        return [
+            _crash_report(crash, now_ms)
+            for crash in self.evidence.crashes
+            if crash.instance in due
+        ]
+
     async def _probe(self, instance: _Instance) -> None:
-        target = instance.target
         try:
-            if await _refuses_connections(target):
+            if await _refuses_connections(instance.target):
                 self._report(instance)
         finally:
             instance.probe = None
+            self._forget_if_idle(instance)
 
     def _report(self, instance: _Instance) -> None:
+        """Record a crash with the attempts that the target had not answered."""
         target = instance.target
+        standings: dict[Trait, Standing] = {}
+        for attempt in instance.unsettled:
+            for trait in call_traits(attempt.call):
+                is_repeated = trait in attempt.repeated
+                standing = Standing.REPEATED if is_repeated else Standing.SUSPECT
+                standings[trait] = max(standing, standings.get(trait, standing))
         self._metrics.target_crashes.labels(target.service).inc()
         info(
             "target.crashed",
             target=target.id,
             service=target.service,
             unanswered=[attempt.call.id for attempt in instance.unsettled],
-            parts=sorted(
-                {
-                    part.id
-                    for attempt in instance.unsettled
-                    if attempt.call.prompt is not None
-                    for part in attempt.call.prompt.parts[:-1]
-                }
-            ),
+            parts=_describe_parts(instance.unsettled),
+            repeated=sum(value is Standing.REPEATED for value in standings.values()),
+            crashes=len(self.evidence.crashes),
         )
+        now_ms = self._clock.now_ms()
+        if self.evidence.merge(_instance_id(target), standings, now_ms):
+            known = [
+                c for c in self.evidence.crashes if c.instance == _instance_id(target)
+            ]
+            self._broadcast(known)
+            self._act_on_verdicts()
+
+    def _broadcast(self, crashes: t.Sequence[Crash]) -> None:
+        now_ms = self._clock.now_ms()
+        for crash in crashes:
+            self._resends[crash.instance] = defaults.CRASH_RESENDS
+        reports = [_crash_report(crash, now_ms) for crash in crashes]
+        self._router.peers.broadcast(reports)
+
+    def _act_on_verdicts(self) -> None:
+        """Refuse waiting calls and break off unanswered ones with new traits."""
+        quarantined = frozenset(self.evidence.quarantined)
+        if quarantined == self._quarantined:
+            return
+        for trait in quarantined - self._quarantined:
+            left_ms = self.evidence.quarantine_ms({trait}, self._clock.now_ms())
+            info("quarantine.began", trait=f"{trait:016x}", left_ms=left_ms)
+        for trait in self._quarantined - quarantined:
+            info("quarantine.ended", trait=f"{trait:016x}")
+        self._quarantined = quarantined
+        self._router.dispatcher.refuse_waiting(self._check_quarantine)
+        for instance in list(self._instances.values()):
+            for attempt in list(instance.unsettled):
+                attempt.refusal = self._check_quarantine(attempt.call)
+                if attempt.refusal is not None:
+                    attempt.abort("quarantined")
+
+    def _check_quarantine(self, call: Call) -> Refusal | None:
+        if call.is_probe:
+            return None
+        left_ms = self.evidence.quarantine_ms(call_traits(call), self._clock.now_ms())
+        return None if left_ms is None else _refusal(call, left_ms)
+
+
+def call_traits(call: Call) -> frozenset[Trait]:
+    """Return the traits of a call: the whole request, and the parts of its prompt.
+
+    The last part of a prompt belongs to one request only, which has its own trait.
+    """
+    body = xxhash.xxh3_64_hexdigest(call.body)
+    path = call.path.decode("latin-1")
+    traits = {stable_hash("request", call.customer, call.method, path, body)}
+    if call.prompt is not None:
+        parts = call.prompt.parts[:-1][: defaults.CRASH_PARTS]
+        traits |= {stable_hash("part", part.id) for part in parts}
+    return frozenset(traits)
+
+
+def _refusal(call: Call, left_ms: float) -> Refusal:
+    retry_s = max(left_ms / 1000, retry_after_s(call.id))
+    return Refusal(503, "quarantined", retry_s, is_for_load=False)
+
+
+def _crash_report(crash: Crash, now_ms: float) -> CrashReport:
+    age_ms = max(0, int(now_ms - crash.first_seen_ms))
+    return CrashReport(crash.instance, age_ms, tuple(crash.standings.items()))
+
+
+def _describe_parts(attempts: t.Iterable[Attempt]) -> list[str]:
+    parts = {
+        part.id
+        for attempt in attempts
+        if attempt.call.prompt is not None
+        for part in attempt.call.prompt.parts[:-1]
+    }
+    return sorted(parts)[: defaults.CRASH_PARTS]
 
 
 def _instance_id(target: Target) -> str:
-    """Return an identifier of one start of a target."""
+    """Return an identifier of one start of a target, the same at all routers."""
     return f"{target.id}/{target.started_ms}"
 
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -81,6 +81,13 @@
 SETTLE_MS = 250.0
 #: Timeout of the connect that tells a crashed target from a reset connection, ms.
 CRASH_PROBE_TIMEOUT_MS = 300
+#: Parts of one prompt that are examined after a crash.
+CRASH_PARTS = 32
+#: Times that a router sends its own findings of a crash again, one report interval
+#: apart; a datagram may be lost.
+CRASH_RESENDS = 2
+#: Routers that repeat what is known of a crash with each refresh.
+CRASH_REPEATERS = 3
 
 # -- queueing at the router ---------------------------------------------------
 #: Shortest delay from an event to the next dispatch, ms; batches events.
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -149,6 +149,13 @@
             self._futures.pop(call, None)
             queue.remove(call)
 
+    def refuse_waiting(self, check: t.Callable[[Call], Refusal | None]) -> None:
+        """Refuse the waiting calls for which ``check`` returns a refusal."""
+        for call, future in list(self._futures.items()):
+            refusal = None if future.done() else check(call)
+            if refusal is not None:
+                future.set_exception(RefusedError(refusal))
+
     def note_demand(self, call: Call) -> None:
         """Add a new call to its customer's demand, whatever becomes of it."""
         queue = self._queue(call.service)
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -182,6 +182,10 @@
             prompt=prompt,
             last_event_id=request.header(headers.resume_after).encode("latin-1"),
         )
+        refusal = router.crashes.refuse(call)
+        if refusal is not None:
+            self._refuse(exchange, call, refusal)
+            return None
         router.dispatcher.note_demand(call)
         refusal = router.shutdown_refusal(call, now_ms)
         if refusal is None and not router.dispatcher.shedder.admits(customer, now_ms):
@@ -240,6 +244,9 @@
         splitter = EventSplitter()
         while True:
             try:
+                refusal = self._router.crashes.refuse(call)
+                if refusal is not None:
+                    raise RefusedError(refusal)
                 dispatched = await self._router.dispatcher.acquire_target(call)
             except RefusedError:
                 if failure is not None and not exchange.has_begun:
@@ -350,7 +357,7 @@
         )
         call.attempts += 1
         crashes = self._router.crashes
-        attempt = crashes.begin(call, target)
+        attempt = crashes.begin(call, target, connection.fail)
         try:
             connection.send(
                 self._render_request(call, target.id), call.method == "HEAD"
@@ -384,7 +391,9 @@
             self._router.dispatcher.note_answer(dispatched, True)
             self._log_attempt(call, dispatched, "whole")
             return None
-        except BrokenResponseError:
+        except BrokenResponseError as error:
+            if attempt.refusal is not None:
+                raise RefusedError(attempt.refusal) from error
             await crashes.examine(attempt)
             raise
         finally:
@@ -557,7 +566,7 @@
         service = call.service if call else ""
         self._metrics.answers.labels(service, str(refusal.status), refusal.reason).inc()
         queue = self._router.dispatcher.queues.get(service)
-        if queue and call and call.prompt:
+        if queue and call and call.prompt and refusal.is_for_load:
             queue.note_refused(call, refusal.reason, self._clock.now_ms())
             is_over = queue.shares.is_over(call.customer, call.units)
             outcome = "refused_over_share" if is_over else "refused_within_share"
--- a/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from snipedeal.quarantine import Standing
 from snipedeal_direct import defaults
 from snipedeal_direct.queueing import NO_UNDERSERVED_STAGE
 
@@ -91,7 +92,27 @@
     records: tuple[tuple[str, bytes | None], ...]
 
 
-Report = TargetReport | QueueReport | CustomerReport | PartsReport | RecordsReport
+class CrashReport(msgspec.Struct, array_like=True, tag="x", frozen=True):
+    """What is known of a crash of a target.
+
+    :param instance: identifies one start of the target.
+    :param age_ms: time since the crash, ms.
+    :param standings: suspect and cleared traits, see :mod:`snipedeal.quarantine`.
+    """
+
+    instance: str
+    age_ms: int
+    standings: tuple[tuple[int, Standing], ...]
+
+
+Report = (
+    TargetReport
+    | QueueReport
+    | CustomerReport
+    | PartsReport
+    | RecordsReport
+    | CrashReport
+)
 
 
 class Gossip(msgspec.Struct, array_like=True):
--- a/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
@@ -42,6 +42,11 @@
             ["service"],
             registry=self.registry,
         )
+        self.quarantined = Gauge(
+            "snipedeal_direct_quarantined_traits",
+            "Traits of requests in quarantine because they crashed targets.",
+            registry=self.registry,
+        )
         self.queue_wait = Histogram(
             "snipedeal_direct_queue_wait_seconds",
             "Time from arrival to the send to a target.",
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -10,6 +10,7 @@
 from snipedeal.exceptions import MessageError
 from snipedeal.exceptions import SnipedealError
 from snipedeal_direct import defaults
+from snipedeal_direct.gossip import CrashReport
 from snipedeal_direct.gossip import CustomerReport
 from snipedeal_direct.gossip import Gossip
 from snipedeal_direct.gossip import PartsReport
@@ -65,8 +66,9 @@
 
     Loads, queues and customers' usage are reported as absolute values rather than
     differences, so that the next refresh repairs the loss of a datagram; they are
-    dropped when their sender falls silent. Reports of prompt parts and of records
-    from the store are not repeated.
+    dropped when their sender falls silent. Crashes are repeated with each refresh by a
+    few routers that know of them. Reports of prompt parts and of records from the store
+    are not repeated.
 
     :param router: the router that owns this object.
     """
@@ -86,12 +88,20 @@
     @property
     def live_count(self) -> int:
         """Number of other routers heard from within ``PEER_STALE_MS``."""
+        return len(self.live_names) - 1
+
+    @property
+    def live_names(self) -> list[str]:
+        """Names of this router and of those heard from lately."""
         now_ms = self._clock.now_ms()
-        return sum(
-            1
-            for peer in self._peers.values()
-            if now_ms - peer.heard_ms <= defaults.PEER_STALE_MS
-        )
+        return [
+            self._name,
+            *(
+                peer.name
+                for peer in self._peers.values()
+                if now_ms - peer.heard_ms <= defaults.PEER_STALE_MS
+            ),
+        ]
 
     async def start(self) -> None:
         """Open the UDP socket and start sending and receiving."""
@@ -171,7 +181,10 @@
             # It registered after this router had read the list of routers.
             self.apply_peer(gossip.sender, f"{address[0]}:{address[1]}")
             peer = self._peers[gossip.sender]
+        is_new = not peer.heard_ms
         peer.heard_ms = self._clock.now_ms()
+        if is_new:
+            self.broadcast(self._router.crashes.reports_due(is_refresh=True))
         peer.version = gossip.version
         peer.is_store_reachable = gossip.is_store_reachable
         self._router.feed_tracker.note_peer_positions(gossip.positions)
@@ -182,6 +195,9 @@
         if isinstance(report, RecordsReport):
             self._router.apply_records(report)
             return
+        if isinstance(report, CrashReport):
+            self._router.crashes.apply(report)
+            return
         queue = self._router.dispatcher.queues.get(report.service)
         if queue is None:
             return
@@ -237,11 +253,11 @@
                 for peer in self._peers.values()
                 if peer.heard_ms and peer.is_store_reachable
             )
-            self._broadcast(self._collect_reports(now_ms))
+            self.broadcast(self._collect_reports(now_ms), is_heartbeat=True)
 
     def forward_records(self, report: RecordsReport) -> None:
         """Send records that were read from the store to all peers at once."""
-        self._broadcast([report])
+        self.broadcast([report])
 
     def _collect_reports(self, now_ms: float) -> list[Report]:
         """Return reports of what changed, or of everything when a refresh is due."""
@@ -275,6 +291,7 @@
                 reports.append(CustomerReport(name, customer, int(demand), int(served)))
         reports += self._parts_reports
         self._parts_reports = []
+        reports += self._router.crashes.reports_due(is_refresh)
         return reports
 
     def _add_if_due(
@@ -299,8 +316,14 @@
             return
         reports.append(report)
 
-    def _broadcast(self, reports: list[Report]) -> None:
-        if self._socket is None or not self._peers:
+    def broadcast(
+        self, reports: t.Sequence[Report], *, is_heartbeat: bool = False
+    ) -> None:
+        """Send reports to all peers.
+
+        :param is_heartbeat: whether to send a datagram even without a report.
+        """
+        if self._socket is None or not self._peers or not (reports or is_heartbeat):
             return
         feed_tracker = self._router.feed_tracker
         header = Gossip(
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -36,11 +36,14 @@
     :param status: HTTP status code.
     :param reason: machine-readable cause.
     :param retry_after_s: seconds after which a retry may succeed.
+    :param is_for_load: whether there was too little capacity; the customer is then
+        underserved.
     """
 
     status: int
     reason: str
     retry_after_s: float
+    is_for_load: bool = True
 
 
 @attrs.define(eq=False)
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -183,6 +183,7 @@
         while True:
             await asyncio.sleep(defaults.POOL_EXPIRE_MS / 1000)
             self.pool.expire()
+            self.crashes.expire()
 
     # -- source events ---------------------------------------------------------
 
@@ -276,6 +277,7 @@
         for name, queue in self.dispatcher.queues.items():
             self.metrics.waiting.labels(name).set(len(queue.waiting))
             self.metrics.fair_share.labels(name).set(queue.shares.fair_share)
+        self.metrics.quarantined.set(len(self.crashes.evidence.quarantined))
         self.metrics.loop_lag.set(self.dispatcher.lag.ms / 1000)
         self.metrics.log_dropped.set(self.log_writer.dropped)
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -81,6 +81,17 @@
 # -- quarantine of requests that crash targets -------------------------------
 QUARANTINE_MS = 600_000
 SUSPECT_MS = 60_000
+# Independent crashes after which a trait of requests is quarantined; one may be chance.
+QUARANTINE_CRASHES = 2
+# First time in quarantine, which doubles with each further crash, and its limit.
+QUARANTINE_FIRST_MS = 15_000
+QUARANTINE_LIMIT_MS = 600_000
+# Time for the answer to a probe, the request that tries a quarantine that has ended.
+QUARANTINE_PROBE_MS = 15_000
+# Crashes that are remembered, for how long, and the traits remembered of each.
+CRASH_RECORDS = 64
+CRASH_RECORD_MS = 600_000
+CRASH_TRAITS = 128
 
 # -- background tasks, monitoring and target agents ----------------------------
 LOOP_RESTART_DELAY_MS = 200
--- a/packages/snipedeal/src/snipedeal/quarantine.py
+++ b/packages/snipedeal/src/snipedeal/quarantine.py
@@ -1,18 +1,262 @@
-"""Quarantine of requests that crash targets.
+"""Find out which requests crash targets, from the crashes that all routers see.
 
-Every request that runs on a target when it crashes becomes a suspect. A suspect
-is retried only alone on a target. If the target crashes again, the suspect is the
-cause: its fingerprint is quarantined for a limited time, in which such requests are
-refused. Reports are deduplicated by crash identifier, since each arrives over the
-log and over a link.
+This module performs no I/O and reads no clock. A request is known by its traits: hashes
+of the whole request and of the parts of its content that other requests may share. Each
+crash has as suspects the traits of the requests that the target had not answered. See
+docs/design/crashing-requests.md.
 """
 
 import collections
+import enum
+import typing as t
 
 import attrs
 
 from snipedeal import defaults
 from snipedeal.messages import Incident
+from snipedeal.utils import stable_hash
+
+#: Hash of a whole request, or of a part of its content.
+Trait = int
+
+
+class Standing(enum.IntEnum):
+    """What is known of a trait in one crash; a merge keeps the higher standing."""
+
+    SUSPECT = 1
+    #: Its request was sent after an earlier crash with the trait was known.
+    REPEATED = 2
+    #: A later request with the trait was answered.
+    CLEARED = 3
+
+
+@attrs.define
+class Crash:
+    """A crash of one instance of a target.
+
+    :param instance: identifies one start of the target, the same at all routers.
+    :param first_seen_ms: monotonic time of the crash, as far as it is known here.
+    """
+
+    instance: str
+    first_seen_ms: float
+    standings: dict[Trait, Standing] = attrs.Factory(dict)
+
+    def suspects(self) -> t.Iterator[tuple[Trait, Standing]]:
+        """Yield the traits that have not been cleared."""
+        for trait, standing in self.standings.items():
+            if standing is not Standing.CLEARED:
+                yield trait, standing
+
+
+@attrs.define
+class _Verdict:
+    """A quarantine.
+
+    :param count: independent crashes with the trait.
+    :param ties: traits that are as likely; a request with all of them is refused.
+    :param until_ms: monotonic time from which a probe may be sent.
+    """
+
+    count: int
+    ties: frozenset[Trait]
+    until_ms: float
+
+
+@attrs.define
+class CrashEvidence:
+    """The crashes of the last minutes and the traits in quarantine that follow.
+
+    All routers that know the same crashes have the same traits in quarantine.
+    """
+
+    _crashes: dict[str, Crash] = attrs.Factory(dict)
+    _verdicts: dict[Trait, _Verdict] = attrs.Factory(dict)
+    _suspects: set[Trait] = attrs.Factory(set)
+
+    @property
+    def crashes(self) -> t.Collection[Crash]:
+        """The crashes that are remembered."""
+        return self._crashes.values()
+
+    @property
+    def quarantined(self) -> t.Collection[Trait]:
+        """The traits in quarantine."""
+        return self._verdicts.keys()
+
+    def repeated(self, traits: t.Iterable[Trait]) -> frozenset[Trait]:
+        """Return the traits that are suspects already, before a request is sent."""
+        if not self._suspects:
+            return frozenset()
+        return self._suspects.intersection(traits)
+
+    def merge(
+        self,
+        instance: str,
+        standings: t.Mapping[Trait, Standing],
+        now_ms: float,
+        age_ms: float = 0.0,
+    ) -> bool:
+        """Add what is known of a crash; return whether any of it was new.
+
+        :param age_ms: time since the crash.
+        """
+        if age_ms >= defaults.CRASH_RECORD_MS:
+            return False
+        crash = self._crashes.get(instance)
+        if crash is None:
+            crash = self._crashes[instance] = Crash(instance, now_ms - age_ms)
+            while len(self._crashes) > defaults.CRASH_RECORDS:
+                oldest = min(self._crashes.values(), key=lambda c: c.first_seen_ms)
+                del self._crashes[oldest.instance]
+        crash.first_seen_ms = min(crash.first_seen_ms, now_ms - age_ms)
+        before = dict(crash.standings)
+        for trait, standing in standings.items():
+            crash.standings[trait] = max(standing, before.get(trait, standing))
+        _sample(crash)
+        if crash.standings == before:
+            return False
+        self._update(now_ms)
+        return True
+
+    def clear(self, traits: t.Iterable[Trait], now_ms: float) -> list[Crash]:
+        """Clear the traits of a request that a target has answered.
+
+        ... crashes in which one of them was a suspect.
+        """
+        known = self._suspects.intersection(traits)
+        if not known:
+            return []
+        changed = []
+        for crash in self._crashes.values():
+            cleared = [trait for trait, _ in crash.suspects() if trait in known]
+            if cleared:
+                crash.standings.update(dict.fromkeys(cleared, Standing.CLEARED))
+                changed.append(crash)
+        self._update(now_ms)
+        return changed
+
+    def quarantine_ms(self, traits: t.Collection[Trait], now_ms: float) -> float | None:
+        """Return how long requests with these traits are refused, at least 0.
+
+        :return: ``None`` if they may be sent; 0 if only a probe may.
+        """
+        found = self._find(traits)
+        return None if found is None else max(0.0, found[1].until_ms - now_ms)
+
+    def begin_probe(
+        self,
+        traits: t.Collection[Trait],
+        is_owner: t.Callable[[Trait], bool],
+        now_ms: float,
+    ) -> bool:
+        """Return whether a refused request may be sent, to try a quarantine that ended.
+
+        No other one may until this one has had time to be answered.
+
+        :param is_owner: whether this router is the one that probes a trait.
+        """
+        found = self._find(traits)
+        if found is None:
+            return True
+        trait, verdict = found
+        group = {trait, *verdict.ties}
+        if now_ms < verdict.until_ms or not is_owner(min(group)):
+            return False
+        for tied in group:
+            self._verdicts[tied].until_ms = now_ms + defaults.QUARANTINE_PROBE_MS
+        return True
+
+    def expire(self, now_ms: float) -> None:
+        """Drop the crashes that are too old."""
+        old = [
+            crash.instance
+            for crash in self._crashes.values()
+            if now_ms - crash.first_seen_ms >= defaults.CRASH_RECORD_MS
+        ]
+        for instance in old:
+            del self._crashes[instance]
+        if old:
+            self._update(now_ms)
+
+    # -- internals -----------------------------------------------------------------
+
+    def _find(self, traits: t.Collection[Trait]) -> tuple[Trait, _Verdict] | None:
+        """Return the trait for which a request is refused longest."""
+        if not self._verdicts:
+            return None
+        found = [
+            (trait, self._verdicts[trait])
+            for trait in traits
+            if trait in self._verdicts and self._verdicts[trait].ties.issubset(traits)
+        ]
+        return max(found, key=lambda item: item[1].until_ms, default=None)
+
+    def _update(self, now_ms: float) -> None:
+        """Compute the verdicts from the crashes.
+
+        The traits with the highest counts come first. A crash that they explain does
+        not count for traits with lower counts.
+        """
+        occurrences: dict[Trait, dict[str, Standing]] = {}
+        for crash in self._crashes.values():
+            for trait, standing in crash.suspects():
+                occurrences.setdefault(trait, {})[crash.instance] = standing
+        self._suspects = set(occurrences)
+        counts = {
+            trait: _count(found)
+            for trait, found in occurrences.items()
+            if len(found) >= defaults.QUARANTINE_CRASHES
+        }
+        explained: set[str] = set()
+        verdicts: dict[Trait, _Verdict] = {}
+        for level in sorted(set(counts.values()), reverse=True):
+            leading = []
+            for trait in (trait for trait in counts if counts[trait] == level):
+                found = occurrences[trait]
+                left = {key: found[key] for key in found.keys() - explained}
+                if _count(left) >= defaults.QUARANTINE_CRASHES:
+                    leading.append(trait)
+            for trait in leading:
+                found = occurrences[trait].keys()
+                ties = {t for t in leading if occurrences[t].keys() == found}
+                verdicts[trait] = self._renew(trait, level, ties - {trait}, now_ms)
+                explained |= found
+        self._verdicts = verdicts
+
+    def _renew(
+        self, trait: Trait, count: int, ties: set[Trait], now_ms: float
+    ) -> _Verdict:
+        """Return a verdict, which lasts longer with each further crash."""
+        known = self._verdicts.get(trait)
+        if known is not None and known.count == count:
+            return _Verdict(count, frozenset(ties), known.until_ms)
+        factor = 2.0 ** min(count - defaults.QUARANTINE_CRASHES, 16)
+        duration_ms = min(
+            defaults.QUARANTINE_LIMIT_MS, defaults.QUARANTINE_FIRST_MS * factor
+        )
+        return _Verdict(count, frozenset(ties), now_ms + duration_ms)
+
+
+def _count(found: t.Mapping[str, Standing]) -> int:
+    """Return the number of independent crashes; those of one event count as one."""
+    repeated = sum(standing is Standing.REPEATED for standing in found.values())
+    return repeated + min(1, len(found) - repeated)
+
+
+def _sample(crash: Crash) -> None:
+    """Bound the traits of a crash, by a sample that differs between crashes."""
+    excess = len(crash.standings) - defaults.CRASH_TRAITS
+    if excess > 0:
+        ranked = sorted(
+            crash.standings,
+            key=lambda trait: (
+                crash.standings[trait] is not Standing.REPEATED,
+                stable_hash(crash.instance, str(trait)),
+            ),
+        )
+        for trait in ranked[-excess:]:
+            del crash.standings[trait]
 
 
 @attrs.define
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -7,7 +7,10 @@
 from test_direct import MODEL
 from test_direct import on_edge
 
+from snipedeal import defaults as core_defaults
 from snipedeal_direct import crashes
+from snipedeal_direct import gossip
+from snipedeal_direct import peers
 from snipedeal_standins.replica import ReplicaSpec
 
 CRASHING = "deadbeef"
@@ -116,3 +119,139 @@
     limit = CRASHES_UNTIL_CONTAINED + REQUESTS_AFTER_CONTAINED
     assert len(runs_with(edge, CRASHING)) <= limit
     assert [answer.status for answer in sound[10:]] == [200] * 10
+
+
+async def contain(edge, routers=3):
+    """Send requests with the crashing part until all routers refuse them."""
+    for number in range(12):
+        await send_prompt(edge, number % routers, f"teach-{number}", CRASHING)
+        await asyncio.sleep(0.05)
+    await edge.wait_until(
+        lambda: all(r.crashes.evidence.quarantined for r in edge.routers)
+    )
+    await edge.wait_until(lambda: len(edge.replicas) == len(FIVE_MODELS))
+
+
+async def assert_refused(edge, routers):
+    """Check that no request with the crashing part reaches a target any more."""
+    before = len(runs_with(edge, CRASHING))
+    for router in routers:
+        answer = await send_prompt(edge, router, f"late-{router}", "x", CRASHING)
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 1.0
+    assert len(runs_with(edge, CRASHING)) == before
+
+
+@on_edge(FIVE_MODELS, routers=3)
+async def test_quarantined_request_is_refused_at_once_and_others_are_served(edge):
+    set_crashing(edge)
+    await contain(edge)
+    await assert_refused(edge, range(3))
+    for router in range(3):
+        answer = await send_prompt(edge, router, f"good-{router}", "x", "y")
+        assert answer.status == 200
+
+
+@on_edge(FIVE_MODELS, routers=3)
+async def test_crashing_requests_are_contained_while_the_store_is_down(edge):
+    set_crashing(edge)
+    edge.store.faults.mode = "reset"
+    for number in range(12):
+        await send_prompt(edge, number % 3, f"bad-{number}", CRASHING)
+        await asyncio.sleep(0.05)
+    # Crashed targets do not return meanwhile, so that all five could have ended.
+    assert len(runs_with(edge, CRASHING)) <= REQUESTS_AFTER_CONTAINED
+    await assert_refused(edge, range(3))
+
+
+def test_lost_report_of_a_crash_is_repeated(monkeypatch):
+    send = peers.Peers.broadcast
+
+    def lose_findings(self, reports, **kwargs):
+        is_finding = not kwargs.get("is_heartbeat")
+        kept = [r for r in reports if not (is_finding and is_crash_report(r))]
+        send(self, kept, **kwargs)
+
+    def is_crash_report(report):
+        return isinstance(report, gossip.CrashReport)
+
+    monkeypatch.setattr(peers.Peers, "broadcast", lose_findings)
+
+    @on_edge(FIVE_MODELS, routers=3)
+    async def play(edge):
+        set_crashing(edge)
+        for number in range(2):
+            await send_prompt(edge, 0, f"bad-{number}", CRASHING)
+        await edge.wait_until(
+            lambda: all(r.crashes.evidence.quarantined for r in edge.routers)
+        )
+        await assert_refused(edge, range(3))
+
+    play()
+
+
+@on_edge(FIVE_MODELS, routers=3)
+async def test_new_router_learns_the_quarantine_from_its_peers(edge):
+    set_crashing(edge)
+    await contain(edge)
+    await edge.add_router()
+    await edge.wait_until(
+        lambda: (
+            edge.routers[3].is_ready and edge.routers[3].crashes.evidence.quarantined
+        )
+    )
+    await assert_refused(edge, [3])
+
+
+@on_edge(FIVE_MODELS, routers=3)
+async def test_restart_of_all_routers_costs_few_crashes(edge):
+    set_crashing(edge)
+    await contain(edge)
+    for router in edge.routers:
+        await router.close()
+    edge.routers.clear()
+    for _ in range(3):
+        await edge.add_router()
+    await edge.wait_until(lambda: all(r.is_ready for r in edge.routers))
+    before = len(runs_with(edge, CRASHING))
+    for number in range(12):
+        await send_prompt(edge, number % 3, f"again-{number}", f"n{number}", CRASHING)
+        await asyncio.sleep(0.1)
+    assert len(runs_with(edge, CRASHING)) - before <= REQUESTS_AFTER_CONTAINED
+
+
+def test_quarantine_ends_once_a_probe_is_answered(monkeypatch):
+    monkeypatch.setattr(core_defaults, "QUARANTINE_FIRST_MS", 300)
+
+    @on_edge(FIVE_MODELS, routers=1)
+    async def play(edge):
+        set_crashing(edge)
+        await send_prompt(edge, 0, "bad-0", CRASHING)
+        await send_prompt(edge, 0, "bad-1", CRASHING)
+        for replica in [*edge.replicas.values(), *edge.crashed]:
+            replica.faults.crashing_parts.clear()
+        early = await send_prompt(edge, 0, "early", CRASHING)
+        await asyncio.sleep(0.3)
+        answers = [await send_prompt(edge, 0, f"late-{n}", CRASHING) for n in range(3)]
+        assert early.status == 503
+        assert [answer.status for answer in answers] == [200] * 3
+        assert not edge.routers[0].crashes.evidence.quarantined
+
+    play()
+
+
+SLOW_MODELS = [attrs.evolve(spec, read_rate=20.0) for spec in FIVE_MODELS]
+
+
+@on_edge(SLOW_MODELS, routers=2)
+async def test_unanswered_requests_are_broken_off_once_their_part_is_quarantined(edge):
+    set_crashing(edge)
+    slow = {"Snipedeal-Token-Usage": "30000,20"}
+    connection = edge.caller_connection(1)
+    await connection.send("POST", "/chat/x", "slow", prompt("z", CRASHING) | slow)
+    await edge.wait_until(lambda: any(r.arrivals for r in edge.replicas.values()))
+    for number in range(2):
+        await send_prompt(edge, 0, f"bad-{number}", f"y{number}", CRASHING)
+    answer = await connection.receive()
+    assert answer.status == 502
+    assert len(runs_with(edge, CRASHING)) == 2
