Quarantine shared messages that crash targets, at agents and their routers

Callers before agents saw what callers of direct routers saw: with one system message that crashes targets, each new request took down two of them, and sound requests beside them were refused as crashed (the new scenario: 3 violations, over 8 crashes).

The quarantine keys on the fingerprint of the whole request, and no two of these requests are alike.

Change: a dispatch carries the traits of its request (hashes of all messages but the last), an agent reports with a crash those that were unanswered, and routers keep them in the same CrashEvidence as direct routers. Fields are appended with defaults, so that older processes understand the messages. Whole requests keep their rule: alone, then quarantined.

--- a/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
@@ -25,6 +25,7 @@
 from snipedeal.messages import ResponseChunks
 from snipedeal.messages import Resume
 from snipedeal.plugins import register_plugin
+from snipedeal.quarantine import Standing
 from snipedeal.seeker import OfferRequestTimer
 from snipedeal_agent.dialects import Chunks
 from snipedeal_agent.dialects import ResponseStart
@@ -52,6 +53,9 @@
     :param orphaned_since_ms: monotonic time at which its router was lost, ``None``
         while it is connected.
     :param finished_ms: monotonic time of its end.
+    :param traits: hashes by which the request is known if it crashes the target.
+    :param repeated: those of them that were suspects when it was dispatched.
+    :param first_chunk_ms: monotonic time of its first chunk, ``None`` before it.
     """
 
     id: str
@@ -72,6 +76,14 @@
     task: asyncio.Task[None] | None = None
     orphaned_since_ms: int | None = None
     finished_ms: int = 0
+    traits: list[int] = attrs.Factory(list)
+    repeated: list[int] = attrs.Factory(list)
+    first_chunk_ms: int | None = None
+
+    def is_settled(self, now_ms: int) -> bool:
+        """Return whether the target has answered for some time, and so survived it."""
+        first_ms = self.first_chunk_ms
+        return first_ms is not None and now_ms - first_ms >= defaults.SETTLE_MS
 
 
 @attrs.frozen
@@ -251,6 +263,8 @@
             dispatch.is_idempotent,
             self._node.clock.now_ms() + dispatch.remaining_ms,
             dispatch.is_solo,
+            traits=dispatch.traits,
+            repeated=dispatch.repeated,
         )
         self._attempts[attempt.id] = attempt
         self._node.events.add(
@@ -365,6 +379,8 @@
         self._charge(attempt, event.units)
         if not event.payloads:
             return
+        if attempt.first_chunk_ms is None:
+            attempt.first_chunk_ms = self._node.clock.now_ms()
         message = ResponseChunks(attempt.id, attempt.offset, event.payloads)
         self._node.send(attempt.router, message)
         attempt.offset += len(event.payloads)
@@ -428,6 +444,7 @@
             self._node.name,
             sorted({attempt.fingerprint for attempt in suspects}),
             len(suspects) == 1 and suspects[0].is_solo,
+            self._trait_standings(suspects),
         )
         self._node.events.add(
             "target.crashed", suspects=len(suspects), crash=incident.crash
@@ -441,6 +458,17 @@
                 attempt.task.cancel()
         self._agent.plugins["incidents"].publish(incident)
 
+    def _trait_standings(self, attempts: t.Iterable[_Attempt]) -> list[tuple[int, int]]:
+        """Return the traits of the attempts that the target had not answered."""
+        now_ms = self._node.clock.now_ms()
+        standings: dict[int, int] = {}
+        for attempt in attempts:
+            if attempt.is_settled(now_ms):
+                continue
+            standings = dict.fromkeys(attempt.traits, Standing.SUSPECT) | standings
+            standings |= dict.fromkeys(attempt.repeated, Standing.REPEATED)
+        return [(trait, int(standing)) for trait, standing in standings.items()]
+
     def _cancel(self, attempt: _Attempt, detail: str) -> None:
         if attempt.task is not None:
             attempt.task.cancel()
--- a/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
@@ -7,6 +7,7 @@
 import attrs
 import xxhash
 
+from snipedeal import defaults as core_defaults
 from snipedeal.quarantine import Crash
 from snipedeal.quarantine import CrashEvidence
 from snipedeal.quarantine import Standing
@@ -128,7 +129,7 @@
         now_ms = self._clock.now_ms()
         if attempt.first_event_ms is None:
             attempt.first_event_ms = now_ms
-        elif now_ms - attempt.first_event_ms >= defaults.SETTLE_MS:
+        elif now_ms - attempt.first_event_ms >= core_defaults.SETTLE_MS:
             self.settle(attempt)
 
     def settle(self, attempt: Attempt) -> None:
@@ -281,7 +282,7 @@
     path = call.path.decode("latin-1")
     traits = {stable_hash("request", call.customer, call.method, path, body)}
     if call.prompt is not None:
-        parts = call.prompt.parts[:-1][: defaults.CRASH_PARTS]
+        parts = call.prompt.parts[:-1][: core_defaults.CRASH_PARTS]
         traits |= {stable_hash("part", part.id) for part in parts}
     return frozenset(traits)
 
@@ -303,7 +304,7 @@
         if attempt.call.prompt is not None
         for part in attempt.call.prompt.parts[:-1]
     }
-    return sorted(parts)[: defaults.CRASH_PARTS]
+    return sorted(parts)[: core_defaults.CRASH_PARTS]
 
 
 def _instance_id(target: Target) -> str:
--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -76,13 +76,8 @@
 FAILURE_HALF_LIFE_MS = 2_000
 
 # -- crashes of targets -------------------------------------------------------
-#: Time after its first event from which a stream counts as answered, ms; several steps
-#: of an engine.
-SETTLE_MS = 250.0
 #: Timeout of the connect that tells a crashed target from a reset connection, ms.
 CRASH_PROBE_TIMEOUT_MS = 300
-#: Parts of one prompt that are examined after a crash.
-CRASH_PARTS = 32
 #: Times that a router sends its own findings of a crash again, one report interval
 #: apart; a datagram may be lost.
 CRASH_RESENDS = 2
--- a/packages/snipedeal-router/src/snipedeal_router/admission.py
+++ b/packages/snipedeal-router/src/snipedeal_router/admission.py
@@ -16,6 +16,7 @@
 from snipedeal.schemas import KEY_HASH_PREFIX
 from snipedeal.schemas import Customer
 from snipedeal.schemas import Service
+from snipedeal.utils import stable_hash
 from snipedeal_router.claimhome import INCOMPLETE
 from snipedeal_router.dispatcher import DEADLINE_OUT_OF_REACH
 from snipedeal_router.refusals import RefusedError
@@ -46,6 +47,7 @@
     :param headers: all headers, names in lower case.
     :param estimate: upper limit of its cost in service units, zero if unknown.
     :param prompt_units: cost of the prompt in service units.
+    :param shared_parts: parts of the content that other requests may share.
     """
 
     id: str
@@ -58,6 +60,7 @@
     estimate: float = 0.0
     prompt_units: float = 0.0
     is_streamed: bool = False
+    shared_parts: tuple[str, ...] = ()
 
 
 class Admission:
@@ -195,6 +198,7 @@
             prompt_units=call.prompt_units,
             claim_key=key,
             is_streamed=call.is_streamed,
+            traits=_traits(call),
         )
         self._node.events.add(
             "request.accepted",
@@ -206,8 +210,7 @@
         return request
 
     def _check_quarantine(self, request: Request) -> None:
-        now_ms = self._node.clock.now_ms()
-        if self._router.quarantine.is_refused(request.fingerprint, now_ms):
+        if self._router.plugins["incidents"].is_refused(request):
             detail = "requests with this content crashed the targets that ran them"
             raise refused_error(422, "quarantined", detail, "admit")
 
@@ -335,6 +338,12 @@
     return digest.hexdigest()[:_HASH_HEX_DIGITS]
 
 
+def _traits(call: HttpRequest) -> frozenset[int]:
+    """Return the hashes by which a request is known if it crashes a target."""
+    parts = call.shared_parts[: defaults.CRASH_PARTS]
+    return frozenset(stable_hash("part", part) for part in parts)
+
+
 def _deadline_ms(call: HttpRequest, service: Service) -> int:
     text = call.headers.get(DEADLINE_HEADER, "")
     if not text:
--- a/packages/snipedeal-router/src/snipedeal_router/app.py
+++ b/packages/snipedeal-router/src/snipedeal_router/app.py
@@ -227,9 +227,19 @@
         body,
         estimate=float(limit) if isinstance(limit, int) and limit > 0 else 0.0,
         is_streamed=fields.get("stream") is True,
+        shared_parts=_shared_parts(fields),
     )
 
 
+def _shared_parts(fields: dict[str, t.Any]) -> tuple[str, ...]:
+    """Return the messages that other requests may share: all but the last."""
+    messages = fields.get("messages")
+    if not isinstance(messages, list):
+        return ()
+    shared = messages[:-1][: defaults.CRASH_PARTS]
+    return tuple(json.dumps(message, sort_keys=True) for message in shared)
+
+
 def _with_prompt_units(call: HttpRequest, prompt_weight: float) -> HttpRequest:
     tokens = len(call.body) / defaults.BYTES_PER_PROMPT_TOKEN
     return attrs.evolve(call, prompt_units=tokens * prompt_weight)
--- a/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
+++ b/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
@@ -234,6 +234,8 @@
             fingerprint=request.fingerprint,
             ticket=ticket,
             is_solo=self._router.quarantine.is_suspect(request.fingerprint, now_ms),
+            traits=list(request.traits),
+            repeated=list(self._router.evidence.repeated(request.traits)),
         )
         if not self._node.send(gate, message):
             return False
@@ -303,7 +305,7 @@
         if request.remaining_ms(now_ms) <= 0:
             self._refuse_expired(request)
             return True
-        if self._router.quarantine.is_refused(request.fingerprint, now_ms):
+        if self._router.plugins["incidents"].is_refused(request):
             self._refuse_quarantined(request)
             return True
         return False
@@ -372,7 +374,7 @@
         request.cost = message.cost
         run_ms = self._node.clock.now_ms() - request.dispatched_ms
         self._waits.observe_run(request.service, request.customer, run_ms)
-        self._router.quarantine.clear_suspect(request.fingerprint)
+        self._router.plugins["incidents"].clear(request)
         self._end(request, "ok")
 
     def _retry(self, request: Request, reason: str, detail: str) -> None:
@@ -398,8 +400,8 @@
         """
         if not request.is_idempotent:
             return "not_idempotent"
-        now_ms = self._node.clock.now_ms()
-        if self._router.quarantine.is_refused(request.fingerprint, now_ms):
+        request.is_probe = False
+        if self._router.plugins["incidents"].is_refused(request):
             return "quarantined"
         if request.attempts >= defaults.MAX_ATTEMPTS:
             return "too_many"
@@ -502,6 +504,7 @@
             now_ms = self._node.clock.now_ms()
             self._expire(now_ms)
             self._router.quarantine.expire(now_ms)
+            self._router.evidence.expire(now_ms)
             self._probe_lost_gates(now_ms)
             self._send_offers()
 
--- a/packages/snipedeal-router/src/snipedeal_router/incidents.py
+++ b/packages/snipedeal-router/src/snipedeal_router/incidents.py
@@ -11,6 +11,9 @@
 from snipedeal.platform import LogBatch
 from snipedeal.platform import follow_stream
 from snipedeal.plugins import register_plugin
+from snipedeal.quarantine import Standing
+from snipedeal.utils import rendezvous_owner
+from snipedeal_router.requests import Request
 
 if t.TYPE_CHECKING:
     from snipedeal_router.router import Router
@@ -18,7 +21,7 @@
 
 @register_plugin(ROUTER, "incidents")
 class IncidentReader:
-    """Pass incidents to the quarantine.
+    """Pass incidents to the quarantine, and keep quarantined requests from targets.
 
     :param router: the router that this plug-in belongs to.
     """
@@ -26,6 +29,7 @@
     def __init__(self, router: "Router") -> None:
         self._node = router.node
         self._quarantine = router.quarantine
+        self._evidence = router.evidence
         self._offset = -1
 
     def start(self) -> None:
@@ -61,11 +65,55 @@
         self._apply(message)
 
     def _apply(self, incident: Incident) -> None:
-        if self._quarantine.apply(incident, self._node.clock.now_ms()):
+        now_ms = self._node.clock.now_ms()
+        try:
+            standings = {trait: Standing(value) for trait, value in incident.standings}
+        except ValueError:
+            standings = {}
+        self._evidence.merge(incident.crash, standings, now_ms)
+        if incident.fingerprints and self._quarantine.apply(incident, now_ms):
             self._node.events.add(
                 "incident",
                 crash=incident.crash,
                 target=incident.target,
                 suspects=len(incident.fingerprints),
                 solo=incident.is_solo,
+                traits=len(standings),
+                quarantined=len(self._evidence.quarantined),
             )
+
+    # -- requests ------------------------------------------------------------------
+
+    def is_refused(self, request: Request) -> bool:
+        """Return whether a request is in quarantine and must not be dispatched.
+
+        A request whose quarantine has ended may become the probe that tries it.
+        """
+        now_ms = self._node.clock.now_ms()
+        if self._quarantine.is_refused(request.fingerprint, now_ms):
+            return True
+        if request.is_probe or not self._evidence.quarantined:
+            return False
+        if self._evidence.quarantine_ms(request.traits, now_ms) is None:
+            return False
+        request.is_probe = not request.may_have_run and self._evidence.begin_probe(
+            request.traits, self._owns, now_ms
+        )
+        return not request.is_probe
+
+    def clear(self, request: Request) -> None:
+        """Clear an answered request of suspicion, here and at the other routers."""
+        self._quarantine.clear_suspect(request.fingerprint)
+        now_ms = self._node.clock.now_ms()
+        for crash in self._evidence.clear(request.traits, now_ms):
+            standings = [
+                (trait, int(value)) for trait, value in crash.standings.items()
+            ]
+            report = Incident(crash.instance, "", [], False, standings)
+            for vm in self._node.membership.routers():
+                if vm.name != self._node.name:
+                    self._node.send(vm.name, report)
+
+    def _owns(self, trait: int) -> bool:
+        names = [vm.name for vm in self._node.membership.routers()]
+        return rendezvous_owner(str(trait), names) == self._node.name
--- a/packages/snipedeal-router/src/snipedeal_router/requests.py
+++ b/packages/snipedeal-router/src/snipedeal_router/requests.py
@@ -51,6 +51,9 @@
     :param spec: configuration of the service.
     :param weight: the customer's share of the service.
     :param fingerprint: hash of the content, equal for repeated requests.
+    :param traits: hashes by which it is known if it crashes a target, see
+        :mod:`snipedeal.quarantine`.
+    :param is_probe: whether it tries whether its traits still crash targets.
     :param arrived_ms: monotonic time of admission.
     :param deadline_ms: monotonic time by which it must be answered.
     :param estimate: upper limit of its cost in service units, zero if unknown.
@@ -103,6 +106,8 @@
     refusal: Refusal | None = None
     has_first_chunk: bool = False
     changed: asyncio.Event = attrs.Factory(asyncio.Event)
+    traits: frozenset[int] = frozenset()
+    is_probe: bool = False
 
     @property
     def is_ended(self) -> bool:
--- a/packages/snipedeal-router/src/snipedeal_router/router.py
+++ b/packages/snipedeal-router/src/snipedeal_router/router.py
@@ -4,6 +4,7 @@
 from snipedeal.membership import ROUTER
 from snipedeal.node import Node
 from snipedeal.plugins import PLUGINS
+from snipedeal.quarantine import CrashEvidence
 from snipedeal.quarantine import Quarantine
 from snipedeal.retries import RetryBudgets
 from snipedeal.settings import RouterSettings
@@ -21,6 +22,7 @@
             settings.node, ROUTER, flush_interval_ms=defaults.FLUSH_INTERVAL_MS
         )
         self.quarantine = Quarantine()
+        self.evidence = CrashEvidence()
         self.budgets = RetryBudgets()
         self.plugins = {
             name: factory(self) for name, factory in PLUGINS[ROUTER].items()
--- a/packages/snipedeal-standins/src/snipedeal_standins/platform_scenarios.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/platform_scenarios.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import time
+import typing as t
 
 import attrs
 
@@ -31,6 +32,8 @@
 
 _RETENTION_MS = 6_000
 _MAX_CRASHED_TARGETS = 2
+#: Five until requests with the message must be contained, three after that.
+_MAX_CRASHED_BY_PART = 8
 
 
 @register_scenario("at-most-once")
@@ -384,6 +387,50 @@
 
     At most ``_MAX_CRASHED_TARGETS`` may crash, and all other calls must succeed.
     """
+    messages = [{"role": "user", "content": "[id=bad.crash] [crash]"}]
+    return await _prove_contained(
+        directory,
+        "crasher",
+        "one content sent again through 3 routers",
+        lambda number: messages,
+        _MAX_CRASHED_TARGETS,
+    )
+
+
+@register_scenario("crasher-part")
+async def prove_crasher_part(directory: pathlib.Path, seed: int) -> list[ReportRow]:
+    """Send requests that crash every target and have only one message in common.
+
+    At most ``_MAX_CRASHED_BY_PART`` may crash, and all other calls must succeed.
+    """
+
+    def messages(number: int) -> list[dict[str, str]]:
+        return [
+            {"role": "system", "content": "answer in one word [crash]"},
+            {"role": "user", "content": f"[id=bad.{number}] question {number}"},
+        ]
+
+    return await _prove_contained(
+        directory,
+        "crasher-part",
+        "contents with one message in common through 3 routers",
+        messages,
+        _MAX_CRASHED_BY_PART,
+    )
+
+
+async def _prove_contained(
+    directory: pathlib.Path,
+    name: str,
+    load_text: str,
+    messages: t.Callable[[int], list[dict[str, str]]],
+    limit: int,
+) -> list[ReportRow]:
+    """Send crashing requests beside a harmless load.
+
+    :param messages: returns the content of a crashing request by its number.
+    :param limit: crashes that are allowed.
+    """
     plan = small_plan({"one": 1.0, "bad": 1.0}, routers=3, engines=4)
     async with run_environment(plan, directory) as env:
         until = time.monotonic() + 12.0
@@ -392,9 +439,11 @@
             return lambda: env.caller.chat(env.urls[router], "one", MODEL, 60)
 
         async def send_crashers() -> None:
+            number = 0
             while time.monotonic() < until:
                 for url in env.urls:
-                    await _send_crasher(env, url)
+                    number += 1
+                    await _send_crasher(env, url, messages(number))
                     await asyncio.sleep(0.2)
 
         load = [run_closed_loop(harmless_call(n), 4, until) for n in range(3)]
@@ -402,33 +451,32 @@
         crashes = [run for run in env.runs() if run.event == "crash"]
         harmless_calls = [c for c in env.caller.history if c.customer == "one"]
         violations = [
-            Violation("crasher", call.mark, f"{call.outcome} {call.code} {call.detail}")
+            Violation(name, call.mark, f"{call.outcome} {call.code} {call.detail}")
             for call in harmless_calls
             if call.outcome != WHOLE
         ]
-        if len(crashes) > _MAX_CRASHED_TARGETS:
-            detail = f"{len(crashes)} crashes, the bound is {_MAX_CRASHED_TARGETS}"
-            violations.append(Violation("crasher", "fleet", detail))
+        if len(crashes) > limit:
+            detail = f"{len(crashes)} crashes, the bound is {limit}"
+            violations.append(Violation(name, "fleet", detail))
         return [
             ReportRow(
-                "crasher",
-                "one content sent again through 3 routers",
+                name,
+                load_text,
                 "the request crashes its target",
                 len(env.caller.history),
                 violations,
-                f"{_MAX_CRASHED_TARGETS} targets, innocents whole",
+                f"{limit} targets, innocents whole",
                 f"{len(crashes)} targets ({outcome_summary(env)})",
             ),
-            invariants_row(env, "crasher"),
+            invariants_row(env, name),
         ]
 
 
-async def _send_crasher(env: Environment, url: str) -> None:
-    """Send the crashing request; it is not added to the history."""
-    body = {
-        "model": MODEL,
-        "messages": [{"role": "user", "content": "[id=bad.crash] [crash]"}],
-    }
+async def _send_crasher(
+    env: Environment, url: str, messages: list[dict[str, str]]
+) -> None:
+    """Send a crashing request; it is not added to the history."""
+    body = {"model": MODEL, "messages": messages}
     headers = {"Authorization": "Bearer bad-key"}
     async with env.fleet.session.post(
         f"{url}/v1/chat/completions", json=body, headers=headers
--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -88,6 +88,10 @@
 QUARANTINE_LIMIT_MS = 600_000
 # Time for the answer to a probe, the request that tries a quarantine that has ended.
 QUARANTINE_PROBE_MS = 15_000
+# Time from its first part on after which a response counts as answered.
+SETTLE_MS = 250
+# Parts of one request that are examined after a crash.
+CRASH_PARTS = 32
 # Crashes that are remembered, for how long, and the traits remembered of each.
 CRASH_RECORDS = 64
 CRASH_RECORD_MS = 600_000
--- a/packages/snipedeal/src/snipedeal/messages.py
+++ b/packages/snipedeal/src/snipedeal/messages.py
@@ -123,6 +123,9 @@
         none; without one, the gate answers :class:`DispatchDeclined` unless the
         attempt can start at once.
     :param is_solo: run the attempt only while nothing else runs on the target.
+    :param traits: hashes by which the request is known if it crashes the target, see
+        :mod:`snipedeal.quarantine`.
+    :param repeated: those of them that were suspects when it was dispatched.
     """
 
     attempt: str
@@ -142,6 +145,8 @@
     fingerprint: str
     ticket: int = 0
     is_solo: bool = False
+    traits: list[int] = attrs.field(factory=list)
+    repeated: list[int] = attrs.field(factory=list)
 
 
 @register_message("resume")
@@ -383,14 +388,17 @@
     """Report a target crash to peers directly, in case the log is unavailable.
 
     :param crash: identifier of the crash, by which duplicates are discarded.
-    :param fingerprints: fingerprints of the requests running on the target.
+    :param fingerprints: fingerprints of the requests running on the target; empty if
+        the report only tells that traits were cleared.
     :param is_solo: whether the only running request was dispatched to run alone.
+    :param standings: traits of the unanswered requests, and what is known of each.
     """
 
     crash: str
     target: str
     fingerprints: list[str]
     is_solo: bool
+    standings: list[tuple[int, int]] = attrs.field(factory=list)
 
 
 @register_message("order")
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -26,7 +26,16 @@
 
 class TestScenarios:
     @pytest.mark.parametrize(
-        "name", ["aged-out", "at-most-once", "config", "crasher", "orders", "shutdown"]
+        "name",
+        [
+            "aged-out",
+            "at-most-once",
+            "config",
+            "crasher",
+            "crasher-part",
+            "orders",
+            "shutdown",
+        ],
     )
     def test_invariant_holds(self, tmp_path, name):
         rows = asyncio.run(SCENARIOS[name](tmp_path, 1))
