Report crashes of plain targets at agents

A plain service's request that crashes its target was never suspected: where a dialect cannot resume, the agent ended the attempt as crashed and reported no incident, so that the request crashed target after target as often as its caller sent it.

The agent now reports the crash as it does for engines. The test failed before: no incident came within 30 s.

--- a/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
@@ -324,8 +324,10 @@
             self._finish(attempt, "lost", reason)
             return
         if self._agent.dialect.resume is None:
-            is_up = await self._agent.plugins["health"].probe()
-            self._finish(attempt, "lost" if is_up else "crashed", reason)
+            if await self._agent.plugins["health"].probe():
+                self._finish(attempt, "lost", reason)
+            else:
+                self._report_crash(reason)
             return
         for _ in range(defaults.TARGET_RESUME_ATTEMPTS):
             try:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -2,10 +2,14 @@
 
 import asyncio
 
+import attrs
+
+from snipedeal.quarantine import Standing
 from snipedeal_standins.local_agent import CUSTOMER
 from snipedeal_standins.local_agent import UNREACHABLE
 from snipedeal_standins.local_agent import make_agent
 from snipedeal_standins.local_agent import make_dispatch
+from snipedeal_standins.rawhttp import RawServer
 
 
 def test_prompt_of_a_request_that_did_not_run_is_not_charged():
@@ -29,3 +33,32 @@
     finished, delivered = asyncio.run(scenario())
     assert finished.outcome == "not_run"
     assert delivered == 0.0
+
+
+def test_plain_target_that_crashes_is_reported_with_its_unanswered_requests():
+    async def scenario():
+        async def crash(request, writer):
+            asyncio.get_running_loop().create_task(server.close())
+            await asyncio.sleep(3600)
+
+        server = RawServer(crash)
+        await server.start()
+        agent = make_agent(f"http://127.0.0.1:{server.port}", dialect="plain")
+        await agent.start()
+        incidents = []
+        agent.plugins["incidents"].publish = incidents.append
+        agent.gate.is_open = True
+        dispatch = attrs.evolve(make_dispatch("plain"), traits=[1, 2], repeated=[2])
+        assert agent.gate.admit(dispatch.attempt, CUSTOMER, 1.0, 0.0)
+        try:
+            agent.plugins["attempts"]._start("router", dispatch)
+            async with asyncio.timeout(30):
+                while not incidents:
+                    await asyncio.sleep(0.01)
+            return incidents
+        finally:
+            await agent.close()
+
+    (incident,) = asyncio.run(scenario())
+    assert incident.fingerprints == ["f"]
+    assert sorted(incident.standings) == [(1, Standing.SUSPECT), (2, Standing.REPEATED)]
