Log the rate limits that targets name

The logs could not tell when a router learned of a target's limit, nor whether it kept to it. target.limit tells each change, and request.sent the limit that was known. No decision uses it yet.

--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -177,6 +177,23 @@
         health.note_answer(is_good, self._clock.now_ms())
         self._log_health_change(dispatched, before, "answer")
 
+    def note_rate_limit(self, dispatched: Dispatched, limit: float | None) -> None:
+        """Record the rate limit that a target named in a response.
+
+        :param limit: requests a second, ``None`` if the response names none.
+        """
+        load = dispatched.load
+        if limit != load.rate_limit:
+            info(
+                "target.limit",
+                target=load.target.id,
+                request=dispatched.call.id,
+                limit=limit,
+                before=load.rate_limit,
+                running=load.running,
+            )
+            load.rate_limit = limit
+
     def note_not_run(self, dispatched: Dispatched) -> None:
         """Take back the usage of a call that its target did not run."""
         call = dispatched.call
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -17,6 +17,7 @@
 from snipedeal_direct.ingress import HOP_BY_HOP_HEADERS
 from snipedeal_direct.ingress import Exchange
 from snipedeal_direct.journal import info
+from snipedeal_direct.limits import parse_rate_limit
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import parse_prompt
 from snipedeal_direct.queueing import Dispatched
@@ -364,6 +365,8 @@
             )
             head = await connection.head()
             self._check_request_id(call, connection, head)
+            limit = parse_rate_limit(head.get(self._router.headers.rate_limit))
+            self._router.dispatcher.note_rate_limit(dispatched, limit)
             if head.status == 421 or head.get(self._router.headers.not_run) is not None:
                 # The request has not run: this counts neither as an attempt nor
                 # as a failure of the target.
@@ -652,6 +655,7 @@
             ahead=round(dispatched.in_flight.tokens_ahead),
             running=load.running,
             rate=round(load.prefill_rate, 1),
+            limit=load.rate_limit,
             config=self._router.routing.version,
         )
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/load.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/load.py
@@ -102,6 +102,8 @@
     """A target with its load, its health and an estimate of its prefix cache.
 
     :param prefill_rate: smoothed prefill rate, prompt tokens per ms.
+    :param rate_limit: requests a second that the target says it takes from all routers
+        together, ``None`` if it names no limit.
     """
 
     target: Target
@@ -110,6 +112,7 @@
     own: LoadCounts = attrs.Factory(LoadCounts)
     cache: PrefixCache = attrs.Factory(PrefixCache)
     prefill_rate: float = defaults.INITIAL_PREFILL_RATE
+    rate_limit: float | None = None
     _peers: dict[str, LoadCounts] = attrs.Factory(dict)
     # Maintained incrementally, since each comparison of targets reads it.
     _peer_total: LoadCounts = attrs.Factory(LoadCounts)
--- a/packages/snipedeal-direct/src/snipedeal_direct/model.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/model.py
@@ -30,6 +30,8 @@
     :param not_run: set by a target that declined a request without running it.
     :param prompt_parts: describes the prompt, together with ``token_counts`` and
         ``length_hint``; see :func:`parse_prompt`.
+    :param rate_limit: set by a target in its responses to the requests a second that it
+        takes from all routers together.
     :param resume_after: ID of the last stream event that the caller received.
     :param stripped: lower-case names that are never passed to a target.
     """
@@ -43,6 +45,7 @@
     prompt_parts: bytes
     token_counts: bytes
     length_hint: bytes
+    rate_limit: bytes
     resume_after: bytes = b"last-event-id"
     stripped: frozenset[bytes] = frozenset()
 
--- a/packages/snipedeal-standins/src/snipedeal_standins/replica.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/replica.py
@@ -74,12 +74,15 @@
     :param after_events: number of events sent before a stream is reset.
     :param crashing_parts: IDs of prompt parts, not the last of a prompt, that crash the
         replica when it begins to answer; not limited by ``count``.
+    :param rate_limit: value of the ``Server-Limit`` header in answers, empty for none;
+        not limited by ``count``. The replica does not enforce it.
     """
 
     mode: str = ""
     count: int = 0
     after_events: int = 2
     crashing_parts: set[str] = attrs.Factory(set)
+    rate_limit: str = ""
 
 
 class Replica:
@@ -253,10 +256,13 @@
 
     def _response_headers(self, run: Run, mode: str) -> dict[str, str]:
         request_id = "somebody-else" if mode == "other" else run.id
-        return {
+        headers = {
             "Snipedeal-Request-Attempt-Id": request_id,
             "Snipedeal-Replica-Signature": f"{self.spec.id}.{run.id}",
         }
+        if self.faults.rate_limit:
+            headers["Server-Limit"] = self.faults.rate_limit
+        return headers
 
     def _next_fault_mode(self) -> str:
         if self.faults.count <= 0:
