Keep to the rate limits that targets name, all routers together

Class: a signal of a dependency that is forwarded but not used.

Evidence: with the header logged, request.sent goes on at the same rate at routers that know the limit, and some learn of it 10 s late, from their own answers only.

--- a/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
@@ -12,7 +12,6 @@
 from snipedeal.quarantine import CrashEvidence
 from snipedeal.quarantine import Standing
 from snipedeal.quarantine import Trait
-from snipedeal.utils import rank_by_rendezvous
 from snipedeal.utils import rendezvous_owner
 from snipedeal.utils import stable_hash
 from snipedeal_direct import defaults
@@ -187,23 +186,19 @@
         Own findings are sent a few times. With each refresh, a few routers repeat each
         crash, also for routers that were started since.
         """
-        if not self.evidence.crashes:
+        crashes = self.evidence.crashes
+        if not crashes:
             return []
         due = set(self._resends)
         self._resends = {
             key: left - 1 for key, left in self._resends.items() if left > 1
         }
         if is_refresh:
-            names = self._router.peers.live_names
-            for crash in self.evidence.crashes:
-                ranked = rank_by_rendezvous(crash.instance, names)
-                if self._router.settings.name in ranked[: defaults.CRASH_REPEATERS]:
-                    due.add(crash.instance)
+            peers = self._router.peers
+            due |= {c.instance for c in crashes if peers.repeats(c.instance)}
         now_ms = self._clock.now_ms()
         return [
-            _crash_report(crash, now_ms)
-            for crash in self.evidence.crashes
-            if crash.instance in due
+            _crash_report(crash, now_ms) for crash in crashes if crash.instance in due
         ]
 
     async def _probe(self, instance: _Instance) -> None:
@@ -244,7 +239,7 @@
     def _broadcast(self, crashes: t.Sequence[Crash]) -> None:
         now_ms = self._clock.now_ms()
         for crash in crashes:
-            self._resends[crash.instance] = defaults.CRASH_RESENDS
+            self._resends[crash.instance] = defaults.FINDING_RESENDS
         reports = [_crash_report(crash, now_ms) for crash in crashes]
         self._router.peers.broadcast(reports)
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -78,11 +78,6 @@
 # -- crashes of targets -------------------------------------------------------
 #: Timeout of the connect that tells a crashed target from a reset connection, ms.
 CRASH_PROBE_TIMEOUT_MS = 300
-#: Times that a router sends its own findings of a crash again, one report interval
-#: apart; a datagram may be lost.
-CRASH_RESENDS = 2
-#: Routers that repeat what is known of a crash with each refresh.
-CRASH_REPEATERS = 3
 
 # -- queueing at the router ---------------------------------------------------
 #: Shortest delay from an event to the next dispatch, ms; batches events.
@@ -142,6 +137,11 @@
 #: Weight of a running request when targets are compared, ms; each one lengthens an
 #: engine step by about 0.1 ms, and every output token takes one step.
 RUNNING_PENALTY_MS = 3.0
+#: Cost of a target without a rate limit, ms, for a prompt of twice the mean length,
+#: while other targets name one.
+UNLIMITED_WEIGHT_MS = 150.0
+#: Weight of the newest prompt in the smoothed length of a service's prompts.
+MEAN_TOKENS_SMOOTHING = 0.02
 #: Cached rendezvous hashes; several targets for each prompt part in use.
 RENDEZVOUS_CACHE_ENTRIES = 8_192
 #: Weight of the rendezvous hash when targets are compared, ms; all routers compute
@@ -184,6 +184,13 @@
 PEER_STALE_MS = 1_000
 #: Interval between full reports, ms; they make up for lost datagrams.
 PEER_REFRESH_MS = 500
+#: Times that a router sends its own findings of a crash or a rate limit again, one
+#: report interval apart; a datagram may be lost.
+FINDING_RESENDS = 2
+#: Routers that repeat a finding with each refresh.
+FINDING_REPEATERS = 3
+#: Time for which the end of a rate limit is repeated, ms.
+LIMIT_END_REPEAT_MS = 20_000.0
 #: Times that the report of an idle target or queue is sent, the first included; more
 #: than one, since datagrams may be lost.
 PEER_IDLE_REPEATS = 2
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -9,6 +9,7 @@
 from snipedeal_direct import defaults
 from snipedeal_direct.accounting import log_fields
 from snipedeal_direct.journal import info
+from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import RouteTable
 from snipedeal_direct.model import Target
@@ -62,6 +63,8 @@
         self.queues: dict[str, ServiceQueue] = {}
         self.shedder = LoadShedder(LoopLag(settings.max_lag_ms))
         self.on_sent: t.Callable[[Dispatched], None] = lambda dispatched: None
+        self.on_limit: t.Callable[[TargetLoad], None] = lambda load: None
+        self.live_routers: t.Callable[[], t.Collection[str]] = lambda: ()
         self.on_new_instance: t.Callable[[Target], None] = lambda target: None
         self._settings = settings
         self._clock = clock
@@ -183,16 +186,45 @@
         :param limit: requests a second, ``None`` if the response names none.
         """
         load = dispatched.load
-        if limit != load.rate_limit:
-            info(
-                "target.limit",
-                target=load.target.id,
-                request=dispatched.call.id,
-                limit=limit,
-                before=load.rate_limit,
-                running=load.running,
-            )
-            load.rate_limit = limit
+        if limit is None and (
+            load.limit is None or dispatched.in_flight.sent_ms <= load.limit_seen_ms
+        ):
+            # A response to an earlier request may be older than the limit.
+            return
+        now_ms = self._clock.now_ms()
+        if self._apply_limit(load, limit, now_ms, dispatched.call.id):
+            self.on_limit(load)
+
+    def apply_peer_limit(
+        self, load: TargetLoad, limit: float | None, seen_ms: float, peer: str
+    ) -> None:
+        """Apply the rate limit that another router has seen.
+
+        :param seen_ms: monotonic time at which it saw it.
+        """
+        self._apply_limit(load, limit, seen_ms, peer)
+
+    def _apply_limit(
+        self, load: TargetLoad, limit: float | None, seen_ms: float, origin: str
+    ) -> bool:
+        before = load.limit.limit if load.limit else None
+        if not load.note_limit(limit, seen_ms):
+            return False
+        info(
+            "target.limit",
+            target=load.target.id,
+            origin=origin,
+            limit=limit,
+            before=before,
+            running=load.running,
+        )
+        self._update_limits(self._queue(load.target.service))
+        self.schedule()
+        return True
+
+    def _update_limits(self, queue: ServiceQueue) -> None:
+        names = self.live_routers()
+        queue.update_limits(self._settings.name, names, self._clock.now_ms())
 
     def note_not_run(self, dispatched: Dispatched) -> None:
         """Take back the usage of a call that its target did not run."""
@@ -273,6 +305,7 @@
             if now_ms - self._shares_updated_ms >= defaults.SHARES_INTERVAL_MS:
                 self._shares_updated_ms = now_ms
                 for queue in self.queues.values():
+                    self._update_limits(queue)
                     if queue.engine is not None and self._capacity:
                         queue.shares.update(self._capacity, now_ms)
             if now_ms - self._accounts_logged_ms >= defaults.ACCOUNTS_INTERVAL_MS:
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -7,6 +7,7 @@
 import attrs
 
 from snipedeal.exceptions import SnipedealError
+from snipedeal.limits import parse_rate_limit
 from snipedeal_direct import defaults
 from snipedeal_direct.crashes import Attempt
 from snipedeal_direct.dispatching import RefusedError
@@ -17,7 +18,6 @@
 from snipedeal_direct.ingress import HOP_BY_HOP_HEADERS
 from snipedeal_direct.ingress import Exchange
 from snipedeal_direct.journal import info
-from snipedeal_direct.limits import parse_rate_limit
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import parse_prompt
 from snipedeal_direct.queueing import Dispatched
@@ -655,7 +655,7 @@
             ahead=round(dispatched.in_flight.tokens_ahead),
             running=load.running,
             rate=round(load.prefill_rate, 1),
-            limit=load.rate_limit,
+            limit=load.limit.limit if load.limit else None,
             config=self._router.routing.version,
         )
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
@@ -105,6 +105,21 @@
     standings: tuple[tuple[int, Standing], ...]
 
 
+class LimitReport(msgspec.Struct, array_like=True, tag="l", frozen=True):
+    """The rate limit that a target names.
+
+    :param started_ms: start of the target's instance, Unix ms.
+    :param limit: requests a second, ``None`` if it names none any more.
+    :param age_ms: time since the response that told it, ms.
+    """
+
+    service: str
+    target: str
+    started_ms: int
+    limit: float | None
+    age_ms: int
+
+
 Report = (
     TargetReport
     | QueueReport
@@ -112,6 +127,7 @@
     | PartsReport
     | RecordsReport
     | CrashReport
+    | LimitReport
 )
 
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/load.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/load.py
@@ -1,10 +1,12 @@
 """Track the load of each target from this router's calls and peers' reports."""
 
 import collections
+import math
 import typing as t
 
 import attrs
 
+from snipedeal.limits import RateLimit
 from snipedeal_direct import defaults
 from snipedeal_direct.condition import TargetHealth
 from snipedeal_direct.model import Call
@@ -102,8 +104,8 @@
     """A target with its load, its health and an estimate of its prefix cache.
 
     :param prefill_rate: smoothed prefill rate, prompt tokens per ms.
-    :param rate_limit: requests a second that the target says it takes from all routers
-        together, ``None`` if it names no limit.
+    :param limit: rate limit that the target names, ``None`` if it names none.
+    :param limit_seen_ms: monotonic time of the newest response that told it.
     """
 
     target: Target
@@ -112,7 +114,10 @@
     own: LoadCounts = attrs.Factory(LoadCounts)
     cache: PrefixCache = attrs.Factory(PrefixCache)
     prefill_rate: float = defaults.INITIAL_PREFILL_RATE
-    rate_limit: float | None = None
+    limit: RateLimit | None = None
+    limit_seen_ms: float = -math.inf
+    # Smoothed length of the prompts sent there under a rate limit, tokens.
+    _mean_tokens: float = 0.0
     _peers: dict[str, LoadCounts] = attrs.Factory(dict)
     # Maintained incrementally, since each comparison of targets reads it.
     _peer_total: LoadCounts = attrs.Factory(LoadCounts)
@@ -140,6 +145,40 @@
             + self.running * defaults.RUNNING_PENALTY_MS
         )
 
+    def note_limit(self, limit: float | None, seen_ms: float) -> bool:
+        """Record the rate limit that a response named; return whether it is another.
+
+        :param limit: requests a second, ``None`` if the response names none.
+        :param seen_ms: monotonic time of the response.
+        """
+        if seen_ms < self.limit_seen_ms:
+            return False
+        self.limit_seen_ms = seen_ms
+        if limit is None:
+            was_limited = self.limit is not None
+            self.limit = None
+            return was_limited
+        if self.limit is None:
+            self.limit = RateLimit(limit)
+            return True
+        is_other = self.limit.limit != limit
+        self.limit.limit = limit
+        return is_other
+
+    def limit_wait_ms(self, now_ms: float, reserve: float = 0.0) -> float:
+        """Return the time until the target's rate limit allows a call.
+
+        :param reserve: part of this router's savings to leave to other calls, 0 to 1.
+        """
+        return 0.0 if self.limit is None else self.limit.wait_ms(now_ms, reserve)
+
+    @property
+    def usable_prefill_rate(self) -> float:
+        """Prefill rate that calls can use under the rate limit, tokens per ms."""
+        if self.limit is None or not self._mean_tokens:
+            return self.prefill_rate
+        return min(self.prefill_rate, self.limit.limit / 1000 * self._mean_tokens)
+
     def set_peer(self, name: str, counts: LoadCounts) -> None:
         """Replace the load reported by a peer."""
         self._peer_total.add(counts, 1)
@@ -165,6 +204,14 @@
 
     def begin(self, call: Call, now_ms: float) -> InFlightCall:
         """Record that a call is sent to the target."""
+        if self.limit is not None:
+            self.limit.spend(now_ms)
+            if call.prompt is not None:
+                if not self._mean_tokens:
+                    self._mean_tokens = float(call.prompt.tokens)
+                self._mean_tokens += defaults.MEAN_TOKENS_SMOOTHING * (
+                    call.prompt.tokens - self._mean_tokens
+                )
         uncached = self.uncached_tokens(call)
         in_flight = InFlightCall(call, uncached, self.prefill_tokens + uncached, now_ms)
         self.own.running += 1
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -9,10 +9,12 @@
 
 from snipedeal.exceptions import MessageError
 from snipedeal.exceptions import SnipedealError
+from snipedeal.utils import rank_by_rendezvous
 from snipedeal_direct import defaults
 from snipedeal_direct.gossip import CrashReport
 from snipedeal_direct.gossip import CustomerReport
 from snipedeal_direct.gossip import Gossip
+from snipedeal_direct.gossip import LimitReport
 from snipedeal_direct.gossip import PartsReport
 from snipedeal_direct.gossip import QueueReport
 from snipedeal_direct.gossip import RecordsReport
@@ -23,6 +25,7 @@
 from snipedeal_direct.journal import info
 from snipedeal_direct.journal import warning
 from snipedeal_direct.load import LoadCounts
+from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.model import PromptPart
 from snipedeal_direct.queueing import Dispatched
 from snipedeal_direct.settings import split_address
@@ -83,6 +86,8 @@
         self._sent_reports: dict[tuple[str, ...], _SentReport] = {}
         self._last_refresh_ms = 0.0
         self._parts_reports: list[PartsReport] = []
+        # Targets whose rate limits are still to be sent again, and how often.
+        self._limit_resends: dict[str, int] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -184,7 +189,7 @@
         is_new = not peer.heard_ms
         peer.heard_ms = self._clock.now_ms()
         if is_new:
-            self.broadcast(self._router.crashes.reports_due(is_refresh=True))
+            self.broadcast(self._collect_findings(is_refresh=True))
         peer.version = gossip.version
         peer.is_store_reachable = gossip.is_store_reachable
         self._router.feed_tracker.note_peer_positions(gossip.positions)
@@ -217,6 +222,13 @@
                 queue.shares.note_peer(
                     sender, report.customer, report.demand, report.served, now_ms
                 )
+            case LimitReport():
+                load = queue.targets.get(report.target)
+                if load is not None and load.target.started_ms == report.started_ms:
+                    seen_ms = now_ms - report.age_ms
+                    self._router.dispatcher.apply_peer_limit(
+                        load, report.limit, seen_ms, sender
+                    )
             case PartsReport():
                 load = queue.targets.get(report.target)
                 if load is not None:
@@ -291,9 +303,43 @@
                 reports.append(CustomerReport(name, customer, int(demand), int(served)))
         reports += self._parts_reports
         self._parts_reports = []
-        reports += self._router.crashes.reports_due(is_refresh)
+        reports += self._collect_findings(is_refresh)
         return reports
 
+    def report_limit(self, load: TargetLoad) -> None:
+        """Report the rate limit that a target has named, or its end, at once."""
+        self._limit_resends[load.target.id] = defaults.FINDING_RESENDS
+        self.broadcast([_limit_report(load, self._clock.now_ms())])
+
+    def _collect_findings(self, is_refresh: bool) -> list[Report]:
+        """Return the crashes and rate limits to report again."""
+        reports: list[Report] = list(self._router.crashes.reports_due(is_refresh))
+        now_ms = self._clock.now_ms()
+        due = set(self._limit_resends)
+        self._limit_resends = {
+            key: left - 1 for key, left in self._limit_resends.items() if left > 1
+        }
+        for queue in self._router.dispatcher.queues.values():
+            for target_id, load in queue.targets.items():
+                is_known = load.limit is not None or (
+                    now_ms - load.limit_seen_ms <= defaults.LIMIT_END_REPEAT_MS
+                )
+                if target_id in due or (
+                    is_refresh and is_known and self.repeats(target_id)
+                ):
+                    reports.append(_limit_report(load, now_ms))
+        return reports
+
+    def repeats(self, key: str) -> bool:
+        """Return whether this router repeats a finding with each refresh.
+
+        A few routers do, for lost datagrams and for routers that were started since.
+
+        :param key: what the finding is about.
+        """
+        ranked = rank_by_rendezvous(key, self.live_names)
+        return self._name in ranked[: defaults.FINDING_REPEATERS]
+
     def _add_if_due(
         self,
         reports: list[Report],
@@ -377,3 +423,10 @@
             return b"".join(parts)
         finally:
             self._router.pool.release(connection)
+
+
+def _limit_report(load: TargetLoad, now_ms: float) -> LimitReport:
+    target = load.target
+    limit = load.limit.limit if load.limit else None
+    age_ms = int(max(0.0, now_ms - load.limit_seen_ms))
+    return LimitReport(target.service, target.id, target.started_ms, limit, age_ms)
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -7,10 +7,12 @@
 
 import bisect
 import functools
+import math
 import typing as t
 
 import attrs
 
+from snipedeal.limits import rate_shares
 from snipedeal.utils import stable_hash
 from snipedeal_direct import defaults
 from snipedeal_direct.accounting import CustomerAccounts
@@ -18,6 +20,7 @@
 from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import EngineLimits
+from snipedeal_direct.model import Prompt
 from snipedeal_direct.model import Target
 from snipedeal_direct.model import TargetState
 from snipedeal_direct.shares import FULL_SHARE_STAGE
@@ -88,6 +91,8 @@
     accounts: CustomerAccounts = attrs.Factory(CustomerAccounts)
     peers_queued_tokens: dict[str, list[int]] = attrs.Factory(dict)
     peers_underserved_stage: dict[str, int] = attrs.Factory(dict)
+    # Smoothed length of a prompt, tokens.
+    _mean_tokens: float = 0.0
     _last_refused_ms: dict[str, float] = attrs.Factory(dict)
     # Stage above which calls are deferred; computed once in a dispatch.
     _deferral_stage: float | None = None
@@ -126,6 +131,26 @@
             and not load.health.is_ejected(now_ms)
         ]
 
+    def update_limits(
+        self, own_name: str, routers: t.Collection[str], now_ms: float
+    ) -> None:
+        """Compute this router's part of the rate limits that targets name.
+
+        :param routers: names of the live routers.
+        """
+        limited = sorted(name for name, load in self.targets.items() if load.limit)
+        if not limited:
+            return
+        known = self.shares.demand_by_router(own_name, now_ms)
+        demand = {name: known.get(name, 0.0) for name in {own_name, *routers}}
+        is_all_limited = all(load.limit for load in self.usable(now_ms))
+        least = math.ceil(len(demand) / len(limited)) if is_all_limited else 1
+        for position, name in enumerate(limited):
+            limit = self.targets[name].limit
+            if limit is not None:
+                parts = rate_shares(limit.limit, demand, position, least)
+                limit.set_rate(parts.get(own_name, 0.0), now_ms)
+
     # -- calls -----------------------------------------------------------------
 
     def queued_tokens_by_slack(self, now_ms: float) -> list[int]:
@@ -196,6 +221,10 @@
 
     def add(self, call: Call, now_ms: float) -> Refusal | None:
         """Queue a call, or refuse it at once if it can't be served in time."""
+        if call.prompt is not None:
+            self._mean_tokens += defaults.MEAN_TOKENS_SMOOTHING * (
+                call.prompt.tokens - self._mean_tokens
+            )
         first_event_ms = self._min_first_event_ms(call)
         item = QueuedCall(
             call, first_event_ms, call.latency_deadline_ms - first_event_ms
@@ -213,7 +242,8 @@
         """Assign queued calls to targets; remove them from the queue."""
         usable = self.usable(now_ms)
         if not self.waiting or not any(
-            self._has_free_capacity(load) for load in usable
+            self._has_free_capacity(load) and not load.limit_wait_ms(now_ms)
+            for load in usable
         ):
             return []
         chosen = []
@@ -285,16 +315,25 @@
         Targets are compared by expected wait and prefill time. Uncached tokens weigh
         more than their prefill time, since computing them again wastes capacity. If
         the best target is full, the call stays queued and is scored again at the
-        next dispatch.
+        next dispatch. If its rate limit does not allow the call yet, a long prompt
+        waits as long as it can be in time; others go to another target.
 
         :param busy: usable targets and the :attr:`TargetLoad.busy_ms` of each.
         """
-        loads = [load for load in busy if load.target.id not in call.tried]
+        loads = [
+            load
+            for load in busy
+            if load.target.id not in call.tried
+            and (load.limit is None or load.limit.rate > 0)
+        ]
         if not loads:
             return None
         if call.prompt is None:
-            return self._choose_least_loaded(call, loads, now_ms)
+            admitting = [load for load in loads if not load.limit_wait_ms(now_ms)]
+            return self._choose_least_loaded(call, admitting, now_ms)
         prompt, affinity = call.prompt, call.prompt.affinity
+        reserve = self._limit_reserve(prompt, loads)
+        unlimited_cost_ms = self._unlimited_cost_ms(prompt, loads)
 
         def score(load: TargetLoad) -> float:
             """Return the cost of a target, ms; lower is better."""
@@ -307,10 +346,48 @@
                 busy[load]
                 + weighted_tokens / load.prefill_rate
                 + weight * defaults.AFFINITY_WEIGHT_MS
+                + (
+                    unlimited_cost_ms
+                    if load.limit is None
+                    else load.limit_wait_ms(now_ms, reserve)
+                )
             )
 
+        def is_open(load: TargetLoad) -> bool:
+            is_allowed = not load.limit_wait_ms(now_ms, reserve)
+            return is_allowed and self._has_engine_capacity(call, load, now_ms)
+
         best = min(loads, key=score)
-        return best if self._has_engine_capacity(call, best, now_ms) else None
+        wait_ms = best.limit_wait_ms(now_ms, reserve)
+        if not wait_ms:
+            return best if is_open(best) else None
+        start_ms = now_ms + wait_ms + best.expected_first_event_ms(call)
+        if not reserve and start_ms <= call.latency_deadline_ms:
+            return None
+        return min(filter(is_open, loads), key=score, default=None)
+
+    def _unlimited_cost_ms(
+        self, prompt: Prompt, loads: t.Sequence[TargetLoad]
+    ) -> float:
+        """Return the cost of a long prompt at targets without a rate limit, ms.
+
+        While others name one, they are the only ones that can take many short prompts.
+        """
+        if all(load.limit is None for load in loads):
+            return 0.0
+        size = prompt.tokens / max(1.0, self._mean_tokens)
+        return defaults.UNLIMITED_WEIGHT_MS * max(0.0, size - 1.0)
+
+    def _limit_reserve(self, prompt: Prompt, loads: t.Sequence[TargetLoad]) -> float:
+        """Return how much of a rate limit a prompt leaves to longer ones, 0 to 1.
+
+        A rate limit counts requests of any size, so the targets that name one relieve
+        the others most if they get the longest prompts. Without others, all prompts
+        have the same claim.
+        """
+        if all(load.limit is not None for load in loads):
+            return 0.0
+        return max(0.0, 1.0 - prompt.tokens / max(1.0, self._mean_tokens))
 
     def _has_free_capacity(self, load: TargetLoad) -> bool:
         """Return whether a target may have capacity for some call."""
@@ -428,10 +505,11 @@
     def _wait_ms(self, item: QueuedCall, now_ms: float) -> float:
         """Return the expected wait of a new call until its prefill starts, ms."""
         usable = self.usable(now_ms)
+        limit_wait_ms = self._limit_wait_ms(usable, now_ms)
         if item.call.prompt is None or not usable:
-            return 0.0
+            return limit_wait_ms
         sort_key = self._sort_key(item, now_ms)
-        rate = sum(load.prefill_rate for load in usable)
+        rate = sum(load.usable_prefill_rate for load in usable)
         ahead = sum(
             _prompt_tokens(other.call)
             for other in self.waiting
@@ -443,9 +521,24 @@
             # Routers of earlier releases report fewer classes.
             own_class = queued_tokens[slack_class : slack_class + 1]
             ahead += sum(queued_tokens[:slack_class]) + sum(own_class) / 2
-        return ahead / rate + min(
+        wait_ms = ahead / max(rate, 1e-6) + min(
             load.prefill_tokens / load.prefill_rate for load in usable
         )
+        return max(wait_ms, limit_wait_ms)
+
+    def _limit_wait_ms(self, usable: t.Sequence[TargetLoad], now_ms: float) -> float:
+        """Return how long the rate limits of the targets delay a new call, ms.
+
+        They delay none while a target without a rate limit is usable.
+        """
+        limits = [load.limit for load in usable if load.limit is not None]
+        if not limits or len(limits) < len(usable):
+            return 0.0
+        rate = sum(limit.rate for limit in limits)
+        soonest_ms = min(limit.wait_ms(now_ms) for limit in limits)
+        if rate <= 0:
+            return soonest_ms
+        return max(soonest_ms, len(self.waiting) / rate * 1000)
 
     def _retry_after(self, call: Call, wait_ms: float) -> float:
         """Return the ``Retry-After`` delay of a call, s.
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -70,6 +70,8 @@
         self._source = _load_source_factory(settings)(self, events)
         self.peers = Peers(self)
         self.dispatcher.on_sent = self.peers.queue_prompt_parts
+        self.dispatcher.on_limit = self.peers.report_limit
+        self.dispatcher.live_routers = lambda: self.peers.live_names
         self.crashes = CrashWatch(self)
         self.forwarder = Forwarder(self)
         self._ingress = IngressServer(
--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -196,6 +196,13 @@
             self._fair_share if scarce else achieved / max(1, len(demands))
         )
 
+    def demand_by_router(self, own_name: str, now_ms: float) -> dict[str, float]:
+        """Return the recent demand at each router that reported some, units."""
+        demand = {own_name: sum(self._demand.all(now_ms).values())}
+        for peer, (demands, _) in self._peers.items():
+            demand[peer] = sum(demands.all(now_ms).values())
+        return demand
+
     def stage(self, customer: str) -> int:
         """Return how much of its share a customer has used, in quarters.
 
--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -97,6 +97,17 @@
 CRASH_RECORD_MS = 600_000
 CRASH_TRAITS = 128
 
+# -- rate limits of targets ----------------------------------------------------
+# Lowest rate that is kept, also for a limit of zero: the next answer tells its end.
+RATE_LIMIT_PROBES_PER_S = 0.2
+# Requests that a router may save up, and the same as a time at its rate, s.
+RATE_LIMIT_BURST = 2.0
+RATE_LIMIT_BURST_S = 0.25
+# Fraction of its savings that a router keeps for the requests that need them most.
+RATE_LIMIT_RESERVE = 0.8
+# Fraction of the routers' mean demand below which one gets no part of a limit.
+RATE_LIMIT_DEMAND_FLOOR = 0.1
+
 # -- background tasks, monitoring and target agents ----------------------------
 LOOP_RESTART_DELAY_MS = 200
 EVENT_RING_SIZE = 20_000
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -13,7 +13,7 @@
 from snipedeal.quarantine import Standing
 from snipedeal.retries import RetryBudget
 from snipedeal.retries import RetryBudgets
-from snipedeal_direct.defaults import CRASH_RESENDS
+from snipedeal_direct.defaults import FINDING_RESENDS
 
 FINGERPRINTS = ["p", "q", "r"]
 
@@ -200,7 +200,7 @@
             self.crashed_ms.append(now_ms)
             report = (f"t{number}", {BAD: standing}, now_ms)
             evidences[router].merge(*report)
-            for repeat in range(1 + CRASH_RESENDS):
+            for repeat in range(1 + FINDING_RESENDS):
                 for other in range(self.routers):
                     if other != router and self.rng.random() >= self.loss:
                         at_ms = now_ms + delay_ms * (1 + repeat)
