Keep to the rate limit of a target at its agent

The setting rate_limit_header names the header. While the target names a limit, the gate asks for requests at that rate and declines those that it did not ask for; it is the only sender to its target, so the whole limit is its own. With set_rate_limit put out of work, both tests of the gate fail.

--- a/packages/snipedeal-agent/src/snipedeal_agent/agent.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/agent.py
@@ -81,9 +81,10 @@
     def send_capacity_report(self, router: str) -> None:
         """Send the gate's state and number of free slots to a router."""
         gate = self.gate
+        # Routers dispatch to free slots unasked, which a rate limit does not allow.
+        free = gate.free if gate.pace is None else 0
         self.node.send(
-            router,
-            CapacityReport(self.settings.service, gate.free, gate.slots, self.state),
+            router, CapacityReport(self.settings.service, free, gate.slots, self.state)
         )
 
     def _is_list_stale(self) -> bool:
@@ -103,6 +104,7 @@
             "state": self.state,
             "slots": gate.slots,
             "running": gate.running,
+            "rate_limit": gate.pace.limit if gate.pace else None,
             "offered": gate.queued(),
             "virtual_times": {
                 name: round(times.delivered(name), 3) for name in times.backlogged
--- a/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
@@ -12,6 +12,7 @@
 from snipedeal.exceptions import TargetError
 from snipedeal.exceptions import TargetLostError
 from snipedeal.exceptions import TargetResponseError
+from snipedeal.limits import parse_rate_limit
 from snipedeal.membership import TARGET
 from snipedeal.messages import AttemptFinished
 from snipedeal.messages import Cancel
@@ -55,6 +56,7 @@
     :param finished_ms: monotonic time of its end.
     :param traits: hashes by which the request is known if it crashes the target.
     :param repeated: those of them that were suspects when it was dispatched.
+    :param started_ms: monotonic time at which it was sent to the target.
     :param first_chunk_ms: monotonic time of its first chunk, ``None`` before it.
     """
 
@@ -78,6 +80,7 @@
     finished_ms: int = 0
     traits: list[int] = attrs.Factory(list)
     repeated: list[int] = attrs.Factory(list)
+    started_ms: int = 0
     first_chunk_ms: int | None = None
 
     def is_settled(self, now_ms: int) -> bool:
@@ -110,6 +113,7 @@
         )
         self._waiting_dispatches: dict[str, _WaitingDispatch] = {}
         self._crashes = 0
+        self._rate_limit_seen_ms = -1
         self._offer_timer = OfferRequestTimer()
         self._random = random.Random()
 
@@ -265,6 +269,7 @@
             dispatch.is_solo,
             traits=dispatch.traits,
             repeated=dispatch.repeated,
+            started_ms=self._node.clock.now_ms(),
         )
         self._attempts[attempt.id] = attempt
         self._node.events.add(
@@ -371,12 +376,33 @@
                 self._charge(attempt, prompt_units)
                 attempt.status = event.status
                 attempt.headers = event.headers
+                self._note_rate_limit(attempt)
             elif isinstance(event, Chunks):
                 self._send_chunks(attempt, event)
             else:
                 self._charge_usage(attempt, event)
         self._finish(attempt, "ok")
 
+    def _note_rate_limit(self, attempt: _Attempt) -> None:
+        """Pace the gate by the rate limit that a response names, if any."""
+        name = self._agent.settings.rate_limit_header
+        if not name:
+            return
+        now_ms = self._node.clock.now_ms()
+        limit = parse_rate_limit(attempt.headers.get(name.lower(), "").encode())
+        before = self._gate.pace.limit if self._gate.pace else None
+        if limit is not None:
+            self._rate_limit_seen_ms = now_ms
+        elif attempt.started_ms <= self._rate_limit_seen_ms:
+            # The response to an earlier request may be older than the limit.
+            return
+        if limit == before:
+            return
+        self._gate.set_rate_limit(limit, now_ms)
+        self._node.events.add("target.limit", limit=limit, before=before)
+        for router in self._agent.routers:
+            self._agent.send_capacity_report(router)
+
     def _send_chunks(self, attempt: _Attempt, event: Chunks) -> None:
         self._charge(attempt, event.units)
         if not event.payloads:
--- a/packages/snipedeal/src/snipedeal/gate.py
+++ b/packages/snipedeal/src/snipedeal/gate.py
@@ -14,6 +14,7 @@
 from snipedeal import defaults
 from snipedeal.estimator import CostEstimator
 from snipedeal.fairness import VirtualTimes
+from snipedeal.limits import RateLimit
 
 
 @attrs.frozen
@@ -79,12 +80,15 @@
     :param times: virtual times of the customers.
     :param estimator: predicts the cost of requests.
     :param is_open: whether the gate admits attempts and asks for requests.
+    :param pace: rate limit that the target names, ``None`` if it names none. The gate
+        then asks for requests at that rate and declines others.
     """
 
     slots: int
     times: VirtualTimes = attrs.Factory(VirtualTimes)
     estimator: CostEstimator = attrs.Factory(CostEstimator)
     is_open: bool = True
+    pace: RateLimit | None = None
     _offers: dict[str, _CustomerOffers] = attrs.Factory(dict)
     _reservations: dict[int, _SlotReservation] = attrs.Factory(dict)
     _running: dict[str, _RunningAttempt] = attrs.Factory(dict)
@@ -148,9 +152,13 @@
         """
         pulls: list[PullDecision] = []
         while self._can_request_work():
+            if self.pace is not None and not self.pace.admits(now_ms):
+                break
             customer = self.times.select()
             if customer is None:
                 break
+            if self.pace is not None:
+                self.pace.spend(now_ms)
             pulls.append(self._issue_ticket(customer, now_ms))
         return pulls
 
@@ -180,6 +188,19 @@
             self.release_ticket(ticket)
         return expired
 
+    def set_rate_limit(self, limit: float | None, now_ms: int) -> None:
+        """Set the rate limit that the target names, requests a second, if any.
+
+        The gate is the only sender to its target, so it may use the whole limit.
+        """
+        if limit is None:
+            self.pace = None
+            return
+        if self.pace is None:
+            self.pace = RateLimit(limit)
+        self.pace.limit = limit
+        self.pace.set_rate(max(limit, defaults.RATE_LIMIT_PROBES_PER_S), now_ms)
+
     def is_waiting_solo(self, attempt: str) -> bool:
         """Whether an attempt waits until nothing else runs on the target."""
         return attempt in self._waiting_solo
@@ -279,7 +300,7 @@
     def _can_admit_unsolicited(self, attempt: str) -> bool:
         if self._waiting_solo:
             return self.is_waiting_solo(attempt) and not self._running
-        return self.free > 0 and not self._offers
+        return self.free > 0 and not self._offers and self.pace is None
 
     def _enqueue_solo(self, attempt: str) -> None:
         if attempt not in self._waiting_solo:
--- a/packages/snipedeal/src/snipedeal/settings.py
+++ b/packages/snipedeal/src/snipedeal/settings.py
@@ -114,6 +114,8 @@
         stale, see ``vm_list_stale_ms``.
     :param prompt_weight: cost of a prompt token in service units; an output token
         costs one.
+    :param rate_limit_header: name of the response header in which the target names the
+        requests a second that it takes; empty if it names none.
     """
 
     node: NodeSettings
@@ -125,6 +127,7 @@
     prompt_weight: float = attrs.field(
         default=defaults.DEFAULT_PROMPT_WEIGHT, validator=in_range(0, 10)
     )
+    rate_limit_header: str = ""
 
 
 def load_settings(path: str, cls: type[_T]) -> _T:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,6 +10,7 @@
 from snipedeal_standins.local_agent import make_agent
 from snipedeal_standins.local_agent import make_dispatch
 from snipedeal_standins.rawhttp import RawServer
+from snipedeal_standins.rawhttp import render_response
 
 
 def test_prompt_of_a_request_that_did_not_run_is_not_charged():
@@ -62,3 +63,41 @@
     (incident,) = asyncio.run(scenario())
     assert incident.fingerprints == ["f"]
     assert sorted(incident.standings) == [(1, Standing.SUSPECT), (2, Standing.REPEATED)]
+
+
+def test_rate_limit_that_a_target_names_paces_the_gate_until_it_names_none():
+    values = ["2.5", "none", ""]
+
+    async def scenario():
+        async def answer(request, writer):
+            value = values[len(seen)]
+            headers = {"Server-Limit": value} if value else {}
+            writer.write(render_response(200, headers, b"ok"))
+
+        seen = []
+        server = RawServer(answer)
+        await server.start()
+        agent = make_agent(f"http://127.0.0.1:{server.port}", dialect="plain")
+        settings = attrs.evolve(agent.settings, rate_limit_header="Server-Limit")
+        agent.settings = settings
+        await agent.start()
+        agent.gate.is_open = True
+        attempts = agent.plugins["attempts"]
+        try:
+            for number in range(len(values)):
+                name = f"a{number}"
+                dispatch = attrs.evolve(make_dispatch("plain"), attempt=name)
+                agent.gate.adopt(name, CUSTOMER, 1.0)
+                # A request that is sent in the millisecond of the last answer is older.
+                await asyncio.sleep(0.01)
+                attempts._start("router", dispatch)
+                async with asyncio.timeout(30):
+                    while attempts.running:
+                        await asyncio.sleep(0.01)
+                seen.append(agent.gate.pace.limit if agent.gate.pace else None)
+            return seen
+        finally:
+            await agent.close()
+            await server.close()
+
+    assert asyncio.run(scenario()) == [2.5, None, None]
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -208,3 +208,29 @@
             gate.finish(str(number), True)
         gate.set_offer("r", "b", 1.0, 10)
         assert gate.times.virtual_time("b") == gate.times.virtual_time("a") == 2000.0
+
+
+class TestRateLimit:
+    def test_gate_asks_for_no_more_than_the_rate_limit_of_its_target(self):
+        gate = Gate(slots=50)
+        gate.set_offer("r", "a", 1.0, 1_000)
+        gate.set_rate_limit(5.0, 0)
+        pulls = []
+        for now_ms in range(0, 20_000, 100):
+            for pull in gate.next_pulls(now_ms):
+                attempt = f"a{len(pulls)}"
+                assert gate.admit(attempt, "a", 1.0, 0.0, pull.ticket)
+                gate.finish(attempt, is_complete=True)
+                pulls.append(now_ms)
+        for start_ms in pulls:
+            in_span = [at for at in pulls if start_ms <= at < start_ms + 4_000]
+            assert len(in_span) <= 1.5 * 5.0 * 4 + 5
+        assert len(pulls) >= 0.9 * 5.0 * 20
+
+    def test_requests_that_a_limited_gate_did_not_ask_for_are_declined(self):
+        gate = Gate(slots=50)
+        assert gate.admit("a1", "a", 1.0, 0.0)
+        gate.set_rate_limit(5.0, 0)
+        assert not gate.admit("a2", "a", 1.0, 0.0)
+        gate.set_rate_limit(None, 0)
+        assert gate.admit("a2", "a", 1.0, 0.0)
