Do not believe a refusal without a request ID on a kept connection

Callers could be told 'not run, try again' for a request that a target had run, and such a request could run at a second target (REFUSED, TWICE): a target that writes an earlier refusal once more on a kept connection, without a request ID, was believed.

Cause: only an ID of another request was rejected; none at all passed. Now a refusal without an ID counts only as the first response on its connection, where no earlier one can be left; elsewhere the connection is closed and the request may have run.

--- a/packages/snipedeal-direct/src/snipedeal_direct/egress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/egress.py
@@ -45,11 +45,13 @@
     """A client connection that carries one request at a time.
 
     :param address: host and port of the server.
+    :ivar is_reused: whether it has carried an earlier request.
     """
 
     def __init__(self, address: Address) -> None:
         self.address = address
         self.is_closed = False
+        self.is_reused = False
         self.idle_since_s = 0.0
         self.idle_limit_s = defaults.DEFAULT_IDLE_REUSE_S
         self.on_idle_close: t.Callable[[], None] | None = None
@@ -405,6 +407,7 @@
         """Return a connection to the pool if it can be reused."""
         if not connection.finish():
             return
+        connection.is_reused = True
         idle = self._idle.setdefault(connection.address, collections.deque())
         connection.idle_since_s = self._time_s()
         connection.on_idle_close = lambda: self._remove_idle(connection)
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -367,7 +367,7 @@
             self._check_request_id(call, connection, head)
             limit = parse_rate_limit(head.get(self._router.headers.rate_limit))
             self._router.dispatcher.note_rate_limit(dispatched, limit)
-            if head.status == 421 or head.get(self._router.headers.not_run) is not None:
+            if self._is_refusal(head):
                 # The request has not run: this counts neither as an attempt nor
                 # as a failure of the target.
                 call.attempts -= 1
@@ -406,14 +406,26 @@
     def _check_request_id(
         self, call: Call, connection: Connection, head: ResponseHead
     ) -> None:
-        """Reject a response that carries another request's ID."""
+        """Reject a response that belongs, or may belong, to another request.
+
+        A target may write an earlier refusal once more. Without a request ID, a refusal
+        is believed only if the connection has carried no other request.
+        """
         response_id = head.get(self._router.headers.request_id)
-        if response_id is not None and response_id.decode("latin-1") != call.id:
+        if response_id is None:
+            if connection.is_reused and self._is_refusal(head):
+                connection.close()
+                raise BrokenResponseError("refusal without a request ID", "answer")
+        elif response_id.decode("latin-1") != call.id:
             connection.close()
             raise BrokenResponseError(
                 f"response carries the request ID {response_id!r}", "answer"
             )
 
+    def _is_refusal(self, head: ResponseHead) -> bool:
+        """Return whether a response states that the target did not run the request."""
+        return head.status == 421 or head.get(self._router.headers.not_run) is not None
+
     async def _read_body(self, connection: Connection) -> bytes:
         """Return the body of a response that is forwarded only if no retry follows.
 
