Resume a stream only with events of an event stream

Cause: a response was forwarded by its own kind, whatever had been sent before. Once a stream has begun, another kind of response, or none but an end, now counts as broken: the stream goes on at a further target or is cut. Three of the new tests failed before. Answers that stop in the middle of their head are tested too; all of them gave 502 before.

--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -384,7 +384,11 @@
                 self._router.dispatcher.note_answer(dispatched, head.status < 500)
                 self._log_attempt(call, dispatched, f"status_{head.status}")
                 return _FailedResponse(head, body)
-            if (head.get(b"content-type") or b"").startswith(_EVENT_STREAM):
+            is_stream = (head.get(b"content-type") or b"").startswith(_EVENT_STREAM)
+            if exchange.has_begun and not is_stream:
+                connection.close()
+                raise BrokenResponseError("resumed stream is no event stream", "answer")
+            if is_stream:
                 await self._forward_stream(
                     exchange, attempt, connection, dispatched, splitter
                 )
@@ -490,14 +494,18 @@
         call = attempt.call
         head = await connection.head()
         splitter.drop_partial()
+        is_resumed = exchange.has_begun
+        event_bytes = 0
 
         def forward_events(data: bytes) -> bool:
+            nonlocal event_bytes
             events = splitter.feed(data)
             if splitter.partial_bytes > defaults.EVENT_BYTES:
                 connection.fail("event too large")
                 return True
             if not events:
                 return True
+            event_bytes += len(events)
             if not exchange.has_begun:
                 self._observe_first_part(call)
                 exchange.begin(head.status, _end_to_end_headers(head.headers))
@@ -514,6 +522,9 @@
             raise BrokenResponseError(
                 "stream ended in the middle of an event", "answer"
             )
+        if is_resumed and not event_bytes:
+            # Whether the caller has all events is unknown; the end must not say so.
+            raise BrokenResponseError("resumed stream has no events", "answer")
         if not exchange.has_begun:
             exchange.begin(head.status, _end_to_end_headers(head.headers))
         exchange.finish()
--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -2,10 +2,14 @@
 
 import pytest
 from test_direct import DESK
+from test_direct import MODEL
+from test_direct import PROMPT
 from test_direct import on_edge
 
 from snipedeal_direct import defaults
+from snipedeal_standins.rawhttp import CloseConnectionError
 from snipedeal_standins.rawhttp import render_response
+from snipedeal_standins.replica import Replica
 
 REFUSALS = {
     "not executed": render_response(503, {"Snipedeal-Not-Executed": "1"}, b""),
@@ -41,3 +45,92 @@
         assert answer.status == 502
 
     play()
+
+
+def answer_resumed(replica, write):
+    """Make a replica answer requests that resume a stream with ``write``."""
+    run_request = replica._run
+
+    async def run(run, mode, writer):
+        if int(run.headers.get("last-event-id", "0") or 0):
+            replica.runs.append(run)
+            await write(replica, run, writer)
+        else:
+            await run_request(run, mode, writer)
+
+    replica._run = run
+
+
+async def write_whole(replica: Replica, run, writer):
+    headers = replica._response_headers(run, "")
+    writer.write(render_response(200, headers, b"whole, but no stream"))
+
+
+async def write_error(replica: Replica, run, writer):
+    headers = replica._response_headers(run, "")
+    writer.write(render_response(500, headers, b"no"))
+
+
+async def write_half_head(replica: Replica, run, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-str")
+    await writer.drain()
+    raise CloseConnectionError
+
+
+async def write_large(replica: Replica, run, writer):
+    headers = replica._response_headers(run, "")
+    writer.write(render_response(200, headers, b"x" * 600_000))
+
+
+async def write_no_event(replica: Replica, run, writer):
+    headers = replica._response_headers(run, "")
+    headers["Content-Type"] = "text/event-stream"
+    writer.write(render_response(200, headers, b""))
+
+
+@pytest.mark.parametrize(
+    "write", [write_whole, write_error, write_half_head, write_large, write_no_event]
+)
+def test_resumed_stream_has_nothing_but_events_and_is_cut(write):
+    @on_edge(MODEL)
+    async def play(edge):
+        for replica in edge.replicas.values():
+            replica.faults.mode, replica.faults.count = "reset", 1
+            answer_resumed(replica, write)
+        connection = edge.caller_connection()
+        answer = await connection.request("POST", "/draft/x", "r1", PROMPT)
+        assert answer.status == 200
+        assert not answer.is_complete
+        assert b"HTTP/1.1" not in answer.body
+        assert b"whole" not in answer.body
+
+    play()
+
+
+HEADS = {
+    "half a head": b"HTTP/1.1 200 OK\r\nSnipedeal-Request-Atte",
+    "a status line": b"HTTP/1.1 200 OK\r\n",
+    "an interim response": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "half a head with a length": b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n",
+    "nothing": b"",
+}
+
+
+@pytest.mark.parametrize("name", HEADS)
+@pytest.mark.parametrize("path", ["/change/x", "/chat/x"])
+def test_head_that_stops_in_its_middle_is_no_success(name, path):
+    @on_edge(DESK + MODEL)
+    async def play(edge):
+        async def write(run, mode, writer):
+            edge.replicas[run.headers["snipedeal-expect-replica"]].runs.append(run)
+            writer.write(HEADS[name])
+            await writer.drain()
+            raise CloseConnectionError
+
+        for replica in edge.replicas.values():
+            replica._run = write
+        connection = edge.caller_connection()
+        answer = await connection.request("POST", path, "r1", PROMPT)
+        assert answer.status == 502
+
+    play()
