Give an agent's target each request on a connection of its own

A plain target that wrote an earlier refusal once more on a kept connection had it taken for the answer to the next request: the caller got 503 while the target ran the request (REFUSED).

Nothing in an answer tells which request it belongs to, so the agent no longer keeps connections to its target, which is on the same machine. The new test failed before: the second request got the first one's refusal. Half a head, a status line alone and an interim response gave lost, before and now.

--- a/packages/snipedeal-agent/src/snipedeal_agent/agent.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/agent.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+import aiohttp
 from absl import logging
 
 from snipedeal import defaults
@@ -33,6 +34,7 @@
         self.dialect = DIALECTS[settings.dialect]
         self.gate = Gate(slots=settings.slots, times=VirtualTimes(settings.node.name))
         self.exchange = DeltaExchange(self.node.name, settings.service, self.gate.times)
+        self.target: Target | None = None
         self.is_target_up = False
         self.routers: set[str] = set()
         self.plugins = {
@@ -56,7 +58,11 @@
     async def start(self) -> None:
         """Start the node, then the plug-ins."""
         await self.node.start()
-        self.target = Target(self.settings.target_url, self.node.session)
+        # On a connection that has carried a request, a target may write an earlier
+        # answer once more, which nothing tells from the answer to the next request.
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        self.target = Target(self.settings.target_url, session)
         for plugin in self.plugins.values():
             plugin.start()
 
@@ -65,6 +71,8 @@
         for plugin in reversed(list(self.plugins.values())):
             await plugin.close()
         await self.node.close()
+        if self.target is not None:
+            await self.target.session.close()
 
     def refresh_state(self) -> None:
         """Open or close the gate and report a changed state to the routers."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,12 +3,14 @@
 import asyncio
 
 import attrs
+import pytest
 
 from snipedeal.quarantine import Standing
 from snipedeal_standins.local_agent import CUSTOMER
 from snipedeal_standins.local_agent import UNREACHABLE
 from snipedeal_standins.local_agent import make_agent
 from snipedeal_standins.local_agent import make_dispatch
+from snipedeal_standins.rawhttp import CloseConnectionError
 from snipedeal_standins.rawhttp import RawServer
 from snipedeal_standins.rawhttp import render_response
 
@@ -101,3 +103,87 @@
             await server.close()
 
     assert asyncio.run(scenario()) == [2.5, None, None]
+
+
+async def run_plain(write, count=1):
+    """Run plain attempts one after the other; return how each ended, and its body.
+
+    :param write: writes the answer to the request of a number.
+    """
+    requests = []
+
+    async def answer(request, writer):
+        if request.path == "/load":
+            headers = {"Connection": "close"}
+            writer.write(render_response(200, headers, b'{"max_batch": 4}'))
+            raise CloseConnectionError
+        requests.append(request)
+        await write(len(requests) - 1, writer)
+
+    server = RawServer(answer)
+    await server.start()
+    agent = make_agent(f"http://127.0.0.1:{server.port}", dialect="plain")
+    await agent.start()
+    agent.gate.is_open = True
+    attempts = agent.plugins["attempts"]
+    ends = []
+    try:
+        for number in range(count):
+            name = f"a{number}"
+            dispatch = attrs.evolve(make_dispatch("plain"), attempt=name)
+            agent.gate.adopt(name, CUSTOMER, 1.0)
+            attempts._start("router", dispatch)
+            attempt = attempts._attempts[name]
+            async with asyncio.timeout(30):
+                while attempt.final_message is None:
+                    await asyncio.sleep(0.01)
+            body = b"".join(attempt.retained_chunks)
+            ends.append((attempt.final_message.outcome, attempt.status, body))
+        return ends
+    finally:
+        await agent.close()
+        await server.close()
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Ty",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+    ],
+)
+def test_answer_that_stops_in_its_head_is_not_whole(head):
+    async def write(number, writer):
+        writer.write(head)
+        await writer.drain()
+        raise CloseConnectionError
+
+    ((outcome, _, _),) = asyncio.run(run_plain(write))
+    assert outcome in ("lost", "crashed")
+
+
+def test_second_answer_to_a_request_is_not_given_to_the_next_one():
+    async def write(number, writer):
+        writer.write(render_response(200, {}, b"answer %d" % number))
+        if number == 0:
+            writer.write(render_response(200, {}, b"extra"))
+
+    ends = asyncio.run(run_plain(write, 2))
+    assert ends[0] == ("ok", 200, b"answer 0")
+    assert ends[1][0] != "ok" or ends[1][2] == b"answer 1"
+
+
+def test_refusal_left_from_an_earlier_request_does_not_answer_the_next_one():
+    async def write(number, writer):
+        if number == 1 and writer in kept:
+            writer.write(render_response(503, {}, b"refused"))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        kept.add(writer)
+        writer.write(render_response(200, {}, b"answer %d" % number))
+
+    kept = set()
+    ends = asyncio.run(run_plain(write, 2))
+    assert ends[1] == ("ok", 200, b"answer 1")
