Do not put the failure of a resumption into an agent's stream

A resumption with another status now counts as lost. Two of the new tests failed before (400 and 500).

--- a/packages/snipedeal-agent/src/snipedeal_agent/openai.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/openai.py
@@ -73,6 +73,7 @@
     :param remaining_ms: time left until the caller's deadline.
     :raises StreamUnknownError: the engine does not know the attempt.
     :raises TargetError: the connection could not be opened.
+    :raises TargetResponseError: the engine answered with a failure.
     :raises TargetLostError: the engine is unavailable, or the connection was lost
         before the response was complete.
     """
@@ -105,6 +106,9 @@
                 raise StreamUnknownError("stream unknown", "resume", target.url)
             if response.status == _HTTP_UNAVAILABLE:
                 raise TargetLostError("the engine is down", "run", target.url)
+            if is_resume and response.status != _HTTP_OK:
+                text = f"status {response.status} for a resumed stream"
+                raise TargetResponseError(text, "resume", target.url)
             yield ResponseStart(response.status, forwarded_headers(response.headers))
             if response.status != _HTTP_OK:
                 yield Chunks([await read_short_body(response)], 0.0)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from snipedeal.messages import ResponseChunks
 from snipedeal.quarantine import Standing
 from snipedeal_standins.local_agent import CUSTOMER
 from snipedeal_standins.local_agent import UNREACHABLE
@@ -187,3 +188,42 @@
     kept = set()
     ends = asyncio.run(run_plain(write, 2))
     assert ends[1] == ("ok", 200, b"answer 1")
+
+
+@pytest.mark.parametrize("status", [200, 400, 500])
+def test_error_in_answer_to_a_resumption_does_not_stand_in_the_stream(status):
+    async def scenario():
+        async def answer(request, writer):
+            if request.path.startswith("/v1/streams/"):
+                writer.write(render_response(status, {}, b"an error"))
+            elif request.path == "/load":
+                writer.write(render_response(200, {}, b'{"max_batch": 4}'))
+            else:
+                head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+                writer.write(head + b'data: {"n": 1}\n\n')
+                await writer.drain()
+                raise CloseConnectionError(is_reset=True)
+
+        server = RawServer(answer)
+        await server.start()
+        agent = make_agent(f"http://127.0.0.1:{server.port}")
+        await agent.start()
+        agent.gate.is_open = True
+        sent = []
+        agent.node.send = lambda router, message: sent.append(message)
+        try:
+            agent.gate.adopt("a1", CUSTOMER, 1.0)
+            agent.plugins["attempts"]._start("router", make_dispatch())
+            attempt = agent.plugins["attempts"]._attempts["a1"]
+            async with asyncio.timeout(30):
+                while attempt.final_message is None:
+                    await asyncio.sleep(0.01)
+            return attempt.final_message.outcome, sent
+        finally:
+            await agent.close()
+            await server.close()
+
+    outcome, sent = asyncio.run(scenario())
+    chunks = [m.chunks for m in sent if isinstance(m, ResponseChunks)]
+    assert outcome in ("lost", "crashed")
+    assert b"an error" not in b"".join(sum(chunks, []))
