Draw crashing prompt parts and named rate limits in the soak and the platform demo

The stand-in engines crash on a prompt part and come back as new instances, and replicas name rate limits that they do not enforce.

--- a/packages/snipedeal-standins/src/snipedeal_standins/edge.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge.py
@@ -240,12 +240,11 @@
     async def _restart_replica(self, replica: Replica) -> None:
         """Replace a crashed replica by one with another ID at the same address."""
         self.crashed.append(self.replicas.pop(replica.spec.id))
-        port = int(replica.address.rpartition(":")[2])
         await asyncio.sleep(RESTART_DELAY_S)
         self.unregister(replica)
-        name = f"{replica.spec.id.partition('+')[0]}+{len(self.crashed)}"
-        restarted = await self.add_replica(attrs.evolve(replica.spec, id=name), port)
-        restarted.faults = replica.faults
+        successor = await replica.restart()
+        self.replicas[successor.spec.id] = successor
+        self.register(successor)
 
     async def add_router(self) -> DirectRouter:
         """Start a router."""
--- a/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
@@ -2,7 +2,8 @@
 
 The store and the replicas run in this process; each router is a separate
 process. Callers send a mixed load while one router is stopped with SIGTERM and
-another is killed, and both are restarted. A table shows the callers' outcomes.
+another is killed, and both are restarted. Some prompts have a part that crashes
+engines, and one engine names a rate limit. A table shows the callers' outcomes.
 """
 
 import asyncio
@@ -29,6 +30,13 @@
 from snipedeal_standins.replica import ReplicaSpec
 
 _START_TIMEOUT_S = 30
+#: Part of prompts that crashes the demo's engines, and how often it is sent.
+CRASHING_PART = "deadbeef"
+_CRASHING_FRACTION = 0.05
+#: Time after which a crashed engine is back, s.
+_RESTART_DELAY_S = 0.5
+#: Requests a second that one of the demo's engines says it takes.
+_RATE_LIMIT = "8"
 #: Kinds of requests that may be executed at most once.
 AT_MOST_ONCE_KINDS = ("change", "chat")
 #: Kinds of requests whose response is a stream.
@@ -117,6 +125,12 @@
     store: MetaStore = attrs.Factory(MetaStore)
     replicas: list[Replica] = attrs.Factory(list)
     routers: list[RouterProcess] = attrs.Factory(list)
+    _restarts: set[asyncio.Task[None]] = attrs.Factory(set)
+
+    @property
+    def crashes(self) -> int:
+        """Number of replicas that have crashed."""
+        return sum(replica.is_crashed for replica in self.replicas)
 
     async def start(self, specs: t.Sequence[ReplicaSpec], routers: int) -> None:
         """Start the store and the replicas, then the routers one by one."""
@@ -125,10 +139,9 @@
         self.store.put("keyed.op", "config", value)
         for spec in specs:
             replica = Replica(spec)
+            replica.on_crash = self._on_crash
             await replica.start()
-            self.replicas.append(replica)
-            entry = json.dumps(replica.registration()).encode()
-            self.store.put("keyed.servers", spec.id, entry)
+            self._add_replica(replica)
         for number in range(routers):
             router = RouterProcess(
                 f"router-{number}", self.store.address, self.directory
@@ -136,12 +149,29 @@
             self.routers.append(router)
             await router.start()
 
+    def _add_replica(self, replica: Replica) -> None:
+        self.replicas.append(replica)
+        entry = json.dumps(replica.registration()).encode()
+        self.store.put("keyed.servers", replica.spec.id, entry)
+
+    def _on_crash(self, replica: Replica) -> None:
+        task = asyncio.create_task(self._restart(replica))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, replica: Replica) -> None:
+        await asyncio.sleep(_RESTART_DELAY_S)
+        self.store.put("keyed.servers", replica.spec.id, b"")
+        self._add_replica(await replica.restart())
+
     async def close(self) -> None:
         """Kill the router processes still running and stop the simulated services."""
         for router in self.routers:
             if router.process is not None and router.process.returncode is None:
                 router.signal(signal.SIGKILL)
                 await router.wait()
+        for task in self._restarts:
+            task.cancel()
         for replica in self.replicas:
             await replica.close()
         await self.store.close()
@@ -154,6 +184,7 @@
     :param outcomes: number of requests by kind of request and outcome.
     :param refused: ids of requests that were refused with 429 or 503.
     :param violations: descriptions of the violated guarantees.
+    :param crashes: engines that crashed.
     """
 
     fleet: EdgeFleet
@@ -161,6 +192,7 @@
     outcomes: collections.Counter[tuple[str, str]] = attrs.Factory(collections.Counter)
     refused: set[str] = attrs.Factory(set)
     violations: list[str] = attrs.Factory(list)
+    crashes: int = 0
     _count: int = 0
 
     async def run(self, callers: int, requests: int) -> None:
@@ -200,7 +232,10 @@
     ) -> Response:
         headers = {}
         if kind in STREAM_KINDS:
-            headers = prompt_headers(request_id, self.rng.randrange(8))
+            part = f"s{self.rng.randrange(8)}"
+            if self.rng.random() < _CRASHING_FRACTION:
+                part = CRASHING_PART
+            headers = prompt_headers(request_id, part)
         method = "GET" if kind == "lookup" else "POST"
         return await connection.request(method, f"/{kind}/x", request_id, headers)
 
@@ -253,22 +288,22 @@
     return []
 
 
-def prompt_headers(request_id: str, prefix_number: int) -> dict[str, str]:
+def prompt_headers(request_id: str, part: str) -> dict[str, str]:
     """Return the headers of a prompt whose prefix other requests share.
 
-    :param prefix_number: identifies the shared part of the prefix.
+    :param part: ID of the second part of the prefix.
     """
     return {
         "Snipedeal-Model": "m",
         "Snipedeal-Token-Usage": "1200,20",
-        "Snipedeal-Prompt-Prefix": f"aa:200,s{prefix_number}:600,{request_id}:400",
+        "Snipedeal-Prompt-Prefix": f"aa:200,{part}:600,{request_id}:400",
     }
 
 
 def replica_specs() -> list[ReplicaSpec]:
-    """Return the specs of two plain replicas and two engines."""
+    """Return the specs of two plain replicas and three engines."""
     return [ReplicaSpec(f"desk-{n}", "desk") for n in range(2)] + [
-        ReplicaSpec(f"model-{n}", "model", slots=64, read_rate=200.0) for n in range(2)
+        ReplicaSpec(f"model-{n}", "model", slots=64, read_rate=200.0) for n in range(3)
     ]
 
 
@@ -279,6 +314,9 @@
     fleet = EdgeFleet(directory)
     try:
         await fleet.start(replica_specs(), routers=3)
+        for replica in fleet.replicas:
+            replica.faults.crashing_parts.add(CRASHING_PART)
+        fleet.replicas[-1].faults.rate_limit = _RATE_LIMIT
         load = Load(fleet, random.Random(seed))
         load_task = asyncio.create_task(load.run(callers, 60))
         await asyncio.sleep(0.5)
@@ -293,6 +331,7 @@
         await stopped.start()
         await load_task
         load.check_runs()
+        load.crashes = fleet.crashes
         return load
     finally:
         await fleet.close()
@@ -308,6 +347,7 @@
     print(f"customer {CUSTOMER}, three routers; one stopped, one killed meanwhile")
     for (kind, outcome), count in sorted(load.outcomes.items()):
         print(f"{kind:8} {outcome:15} {count:6}")
+    print(f"{load.crashes} engines crashed by prompts with one part")
     for line in load.violations:
         print("WRONG", line)
     return 1 if load.violations else 0
--- a/packages/snipedeal-standins/src/snipedeal_standins/relay.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/relay.py
@@ -47,19 +47,21 @@
         self.delay_ms = 0.0
         self._host, _, port = target.rpartition(":")
         self._port = int(port)
+        self._listen_port = 0
         self._pairs: set[_ConnectionPair] = set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[t.Any]] = set()
 
     @property
     def address(self) -> str:
-        """``host:port`` that the proxy listens on."""
-        assert self._server is not None
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        """``host:port`` that the proxy listens on, also while it is closed."""
+        return f"127.0.0.1:{self._listen_port}"
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
-        """Start listening; port 0 picks a free one."""
+        """Start listening; port 0 picks a free one, the one before after a close."""
+        port = port or self._listen_port
         self._server = await asyncio.start_server(self._accept, host, port)
+        self._listen_port = self._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """Stop listening and reset open connections."""
--- a/packages/snipedeal-standins/src/snipedeal_standins/replica.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/replica.py
@@ -128,6 +128,14 @@
             **changes,
         }
 
+    async def restart(self) -> "Replica":
+        """Start the instance that replaces a crashed one, at the same address."""
+        successor = Replica(attrs.evolve(self.spec, id=self.successor_id))
+        successor.faults = self.faults
+        successor.on_crash = self.on_crash
+        await successor.start(self._server.port)
+        return successor
+
     async def start(self, port: int = 0) -> None:
         """Start serving on loopback; port 0 picks a free one."""
         await self._server.start(port)
@@ -136,6 +144,12 @@
         """Stop serving and abort open connections."""
         await self._server.close()
 
+    @property
+    def successor_id(self) -> str:
+        """ID of the instance that replaces this one after a crash."""
+        name, _, number = self.spec.id.partition("+crash")
+        return f"{name}+crash{int(number or 0) + 1}"
+
     def crash(self) -> None:
         """End at once: refuse connections and reset the open ones."""
         if not self.is_crashed:
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak.py
@@ -25,6 +25,7 @@
 from snipedeal_standins.edge_demo import prompt_headers
 from snipedeal_standins.soak_checks import SoakCall
 from snipedeal_standins.soak_faults import FAULTS
+from snipedeal_standins.soak_faults import LOAD_FAULTS
 from snipedeal_standins.soak_stage import RelayedRouter
 from snipedeal_standins.soak_stage import SoakEnvironment
 from snipedeal_standins.soak_stage import SoakPlan
@@ -37,6 +38,8 @@
 _DRAIN_LIMIT_S = 4.0
 _RECOVERY_LOAD_S = 2.0
 _CHECK_INTERVAL_S = 1.0
+#: Fraction of the prompts that have the part that crashes engines.
+_CRASHING_FRACTION = 0.05
 _CREDENTIALS = {"one": "key-one", "two": "key-two"}
 _REQUEST_KINDS = ("lookup", "change", "chat", "draft", "version")
 
@@ -88,7 +91,10 @@
         request_id = f"{kind}-{self.prefix}{len(self.calls)}"
         headers = {"Snipedeal-Credential": _CREDENTIALS[customer]}
         if kind in STREAM_KINDS:
-            headers |= prompt_headers(request_id, self.rng.randrange(8))
+            part = f"s{self.rng.randrange(8)}"
+            if self.env.crashing_part and self.rng.random() < _CRASHING_FRACTION:
+                part = self.env.crashing_part
+            headers |= prompt_headers(request_id, part)
         version = self.env.version if kind == "version" else 0
         path = f"/ver-{version}/x" if version else f"/{kind}/x"
         call = SoakCall(
@@ -147,11 +153,13 @@
 
     async def _inject_faults(self, seconds: float) -> None:
         rng = self.env.rng
+        has_load_faults = self.env.plan.has_load_faults
+        names = sorted(FAULTS if has_load_faults else FAULTS.keys() - LOAD_FAULTS)
         end_s = time.monotonic() + seconds
         active: set[asyncio.Task[list[str]]] = set()
         while time.monotonic() < end_s and not self.violations:
             if len(active) < _MAX_CONCURRENT_FAULTS:
-                name = rng.choice(sorted(FAULTS))
+                name = rng.choice(names)
                 self.faults[name] += 1
                 duration_s = rng.uniform(0.2, 3.0)
                 active.add(asyncio.create_task(FAULTS[name](self.env, duration_s)))
@@ -227,6 +235,8 @@
             + checks.check_stops(env, calls)
             + checks.check_versions(calls)
             + checks.check_processes(env)
+            + checks.check_crashing_part(env, calls)
+            + checks.check_rate_limits(env, calls)
         )
 
 
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_checks.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_checks.py
@@ -1,5 +1,6 @@
 """Invariants of the fleet, checked against the records of callers and replicas."""
 
+import bisect
 import typing as t
 
 import attrs
@@ -20,6 +21,15 @@
 ANSWER_LIMIT_S = 15.0
 
 
+#: Crashes after which requests with one part must be contained, requests that may
+#: reach engines after that, and the time that routers have for it, s.
+CRASHES_UNTIL_CONTAINED = 5
+REQUESTS_AFTER_CRASHES = 3
+STABLE_S = 3.0
+#: Span over which the rate at a replica is taken, s.
+RATE_SPAN_S = 4.0
+
+
 @attrs.define
 class SoakCall:
     """A request of a caller and its answer.
@@ -165,6 +175,64 @@
     ]
 
 
+def check_crashing_part(env: SoakEnvironment, calls: t.Iterable[SoakCall]) -> list[str]:
+    """Check that requests with a part that crashes engines are contained.
+
+    Some time after the fifth crash, at most ``REQUESTS_AFTER_CRASHES`` may reach
+    engines through routers that no fault has touched meanwhile.
+    """
+    violations = []
+    sent = {call.id: call for call in calls}
+    for part, crashes_s in env.crashes_s.items():
+        if len(crashes_s) < CRASHES_UNTIL_CONTAINED:
+            continue
+        limit_s = sorted(crashes_s)[CRASHES_UNTIL_CONTAINED - 1] + STABLE_S
+        late = [
+            run.id
+            for replica in env.all_replicas()
+            for run in replica.runs
+            if f"{part}:" in run.headers.get("snipedeal-prompt-prefix", "")
+            and run.started_s > limit_s
+            and _is_calm(env, sent.get(run.id), run.started_s)
+        ]
+        if len(late) > REQUESTS_AFTER_CRASHES:
+            violations.append(f"{part} crashed engines and reached them in {late}")
+    return violations
+
+
+def check_rate_limits(env: SoakEnvironment, calls: t.Iterable[SoakCall]) -> list[str]:
+    """Check that replicas get no more than the rate limits that they name.
+
+    Requests of routers that a fault has touched meanwhile do not count.
+    """
+    violations = []
+    sent = {call.id: call for call in calls}
+    for named in env.limits:
+        starts_s = sorted(
+            run.started_s
+            for replica in env.all_replicas()
+            if replica.spec.id == named.replica
+            for run in replica.runs
+            if named.from_s + STABLE_S < run.started_s < named.to_s
+            and _is_calm(env, sent.get(run.id), run.started_s)
+        )
+        allowed = 1.5 * named.limit * RATE_SPAN_S + 5
+        for index, start_s in enumerate(starts_s):
+            end = bisect.bisect_right(starts_s, start_s + RATE_SPAN_S)
+            if end - index > allowed:
+                violations.append(
+                    f"{named.replica} names {named.limit} a second and got"
+                    f" {end - index} in {RATE_SPAN_S} s"
+                )
+                break
+    return violations
+
+
+def _is_calm(env: SoakEnvironment, call: SoakCall | None, at_s: float) -> bool:
+    """Return whether no fault may have affected a call's router before a moment."""
+    return call is not None and not env.is_affected(call.router, at_s - STABLE_S, at_s)
+
+
 def check_recovery_load(
     calls: t.Sequence[SoakCall], customers: t.Iterable[str]
 ) -> list[str]:
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_faults.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_faults.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from snipedeal_standins.relay import RelayMode
+from snipedeal_standins.soak_stage import NamedLimit
 from snipedeal_standins.soak_stage import RelayedReplica
 from snipedeal_standins.soak_stage import RelayedRouter
 from snipedeal_standins.soak_stage import SoakEnvironment
@@ -23,12 +24,16 @@
     "unframed",
     "declined",
 )
+#: Load faults last this many times as long as others, so that checks apply to them.
+_LOAD_FAULT_FACTOR = 4
 _STORE_MODES = ("busy", "many", "reset", "silent")
 
 Fault = t.Callable[[SoakEnvironment, float], t.Awaitable[list[str]]]
 
 #: Faults by name; each takes its duration in s and returns violations.
 FAULTS: dict[str, Fault] = {}
+#: Names of the faults that are drawn only in runs with load faults.
+LOAD_FAULTS: set[str] = set()
 
 
 def register_fault(function: Fault) -> Fault:
@@ -37,6 +42,12 @@
     return function
 
 
+def register_load_fault(function: Fault) -> Fault:
+    """Register a fault that is drawn only in runs with load faults."""
+    LOAD_FAULTS.add(function.__name__)
+    return register_fault(function)
+
+
 # -- routers -------------------------------------------------------------------------
 
 
@@ -295,6 +306,43 @@
     return []
 
 
+# -- load --------------------------------------------------------------------------
+
+
+@register_load_fault
+async def crash_by_part(env: SoakEnvironment, duration_s: float) -> list[str]:
+    """Make a part of prompts crash the engines that begin to answer it."""
+    if env.crashing_part:
+        return []
+    env.crashing_part = part = f"bad{len(env.crashes_s)}"
+    env.crashes_s[part] = []
+    for relayed in env.replicas:
+        relayed.replica.faults.crashing_parts.add(part)
+    await asyncio.sleep(duration_s * _LOAD_FAULT_FACTOR)
+    env.crashing_part = ""
+    for relayed in env.replicas:
+        relayed.replica.faults.crashing_parts.discard(part)
+    await env.wait_for_restarts()
+    return []
+
+
+@register_load_fault
+async def limit_rate(env: SoakEnvironment, duration_s: float) -> list[str]:
+    """Make a replica name a rate limit, which it does not enforce."""
+    relayed = _choose_replica(env)
+    replica = relayed.replica
+    if replica.faults.rate_limit:
+        return []
+    limit = env.rng.choice((0.5, 2.0, 5.0, 20.0))
+    replica.faults.rate_limit = str(limit)
+    named = NamedLimit(replica.spec.id, limit, time.monotonic())
+    env.limits.append(named)
+    await asyncio.sleep(duration_s * _LOAD_FAULT_FACTOR)
+    replica.faults.rate_limit = ""
+    named.to_s = time.monotonic()
+    return []
+
+
 async def _apply_relay_mode(
     env: SoakEnvironment,
     relay: t.Any,
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_stage.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_stage.py
@@ -1,5 +1,6 @@
 """Environment of a soak test: store, replicas, routers and the relays between them."""
 
+import asyncio
 import json
 import pathlib
 import random
@@ -20,11 +21,18 @@
 #: Time after the end of a fault during which its effects may continue, s: kernel
 #: connection timeouts, and the routers' own back-off.
 FAULT_SETTLE_S = 6.0
+#: Time for which a crashed replica refuses connections, s.
+_RESTART_DELAY_S = 0.6
 
 
 @attrs.frozen
 class SoakPlan:
-    """Seed, size and duration of a soak run."""
+    """Seed, size and duration of a soak run.
+
+    :param has_load_faults: whether requests may crash engines and engines may name
+        rate limits. Without these faults, seeds of earlier releases draw what they drew
+        then.
+    """
 
     seed: int = 1
     seconds: float = 20.0
@@ -32,6 +40,7 @@
     plain: int = 2
     engines: int = 3
     callers: int = 8
+    has_load_faults: bool = True
 
 
 @attrs.define
@@ -72,6 +81,16 @@
     to_s: float
 
 
+@attrs.define
+class NamedLimit:
+    """A rate limit that a replica names, requests a second, in monotonic s."""
+
+    replica: str
+    limit: float
+    from_s: float
+    to_s: float = float("inf")
+
+
 @attrs.define(eq=False)
 class RelayedRouter:
     """A router process with the relays that carry its connections.
@@ -123,7 +142,12 @@
         self.replaced_replicas: list[Replica] = []
         self.fault_periods: list[FaultPeriod] = []
         self.stops: list[Stop] = []
+        self.limits: list[NamedLimit] = []
+        # The part of prompts that crashes engines now, and all crashes by part.
+        self.crashing_part = ""
+        self.crashes_s: dict[str, list[float]] = {}
         self.version = 0
+        self._restarts: set[asyncio.Task[None]] = set()
 
     # -- lifecycle -----------------------------------------------------------------
 
@@ -147,6 +171,7 @@
                 await router.process.wait()
             await router.caller_relay.close()
             await router.store_relay.close()
+        await asyncio.gather(*self._restarts, return_exceptions=True)
         for relayed in self.replicas:
             await relayed.relay.close()
             await relayed.replica.close()
@@ -170,16 +195,44 @@
         relay = Relay(replica.address)
         await relay.start()
         relayed = RelayedReplica(replica, relay)
+        replica.on_crash = lambda crashed: self._on_crash(relayed)
         self.replicas.append(relayed)
         self.register(relayed)
 
+    def _on_crash(self, relayed: RelayedReplica) -> None:
+        self.crashes_s.setdefault(self.crashing_part, []).append(time.monotonic())
+        task = asyncio.create_task(self._replace_crashed(relayed))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _replace_crashed(self, relayed: RelayedReplica) -> None:
+        """Refuse connections for a while, then start a successor."""
+        crashed = relayed.replica
+        period = self.begin_fault("crash", relayed.id, crashed.successor_id)
+        await relayed.relay.close()
+        await asyncio.sleep(_RESTART_DELAY_S)
+        successor = await crashed.restart()
+        self.replaced_replicas.append(crashed)
+        relayed.replica = successor
+        await relayed.relay.start()
+        self.store.put("keyed.servers", crashed.spec.id, b"")
+        self.register(relayed)
+        period.end()
+
+    async def wait_for_restarts(self) -> None:
+        """Wait until all crashed replicas are back."""
+        await asyncio.gather(*self._restarts)
+
     async def restart_replica(self, relayed: RelayedReplica, new_id: str) -> None:
         """Replace a replica by a new one at the same address."""
+        await self.wait_for_restarts()
         old_replica = relayed.replica
         port = int(old_replica.address.rpartition(":")[2])
         await old_replica.close()
         self.replaced_replicas.append(old_replica)
         relayed.replica = Replica(attrs.evolve(old_replica.spec, id=new_id))
+        relayed.replica.on_crash = old_replica.on_crash
+        relayed.replica.faults.crashing_parts = old_replica.faults.crashing_parts
         await relayed.replica.start(port)
         if new_id != old_replica.spec.id:
             self.store.put("keyed.servers", old_replica.spec.id, b"")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from snipedeal_standins.replica import Run
 from snipedeal_standins.soak import run_soak
 from snipedeal_standins.soak_checks import SoakCall
+from snipedeal_standins.soak_stage import NamedLimit
 from snipedeal_standins.soak_stage import SoakEnvironment
 from snipedeal_standins.soak_stage import SoakPlan
 from snipedeal_standins.soak_stage import Stop
@@ -24,6 +25,8 @@
     111: "a stopping router waited for the silent store beyond its grace",
     112: "the same",
 }
+#: Those of them that were found in runs with load faults.
+LOAD_FAULT_SEEDS = set()
 
 
 @pytest.fixture
@@ -124,6 +127,32 @@
     assert checks.check_versions([newer, older]) == []
 
 
+def test_crashing_part_that_is_not_contained_is_detected(env):
+    headers = {"snipedeal-prompt-prefix": "aa:200,bad0:600,own:400"}
+    env.crashes_s["bad0"] = [100.0 + number for number in range(5)]
+    calls = [make_call(f"chat-{number}", 502, "chat") for number in range(4)]
+    for call in calls:
+        run = Run(call.id, headers, "POST", "/x", b"", 107.5)
+        env.replaced_replicas[0].runs.append(run)
+    assert checks.check_crashing_part(env, calls)
+    assert checks.check_crashing_part(env, calls[:3]) == []
+    paused = env.begin_fault("pause_router", "router-0")
+    paused.from_s = paused.to_s = 106.0
+    assert checks.check_crashing_part(env, calls) == []
+
+
+def test_rate_above_a_named_limit_is_detected(env):
+    env.limits.append(NamedLimit("desk-0", 2.0, 100.0))
+    calls = [make_call(f"lookup-{number}", 200, "lookup") for number in range(18)]
+    for number, call in enumerate(calls):
+        run = Run(call.id, {}, "GET", "/x", b"", 104.0 + number / 10)
+        env.replaced_replicas[0].runs.append(run)
+    assert checks.check_rate_limits(env, calls)
+    assert checks.check_rate_limits(env, calls[:17]) == []
+    env.limits[0].from_s = 105.0
+    assert checks.check_rate_limits(env, calls) == []
+
+
 def test_unserved_load_after_the_faults_is_detected():
     served = [make_call(f"change-{n}", 200, customer="one") for n in range(10)]
     assert checks.check_recovery_load(served, ["one"]) == []
@@ -140,5 +169,6 @@
 
 @pytest.mark.parametrize("seed", sorted(REGRESSION_SEEDS))
 def test_regression_seed_has_no_violations(tmp_path, seed):
-    run = asyncio.run(run_soak(SoakPlan(seed=seed, seconds=10.0), tmp_path))
+    plan = SoakPlan(seed=seed, seconds=10.0, has_load_faults=seed in LOAD_FAULT_SEEDS)
+    run = asyncio.run(run_soak(plan, tmp_path))
     assert run.violations == []
