End the transport's reader also when a receive completes as it is cancelled

Cause: close cancels the reader once. pynng's wait_for_aio catches the cancellation, cancels the operation and returns the message if that had completed meanwhile; the reader then received again, and close waited for it for ever. The reader now looks whether the transport is closed.

The new test, with a socket that completes in that way, failed before: close did not end within 10 s.

--- a/packages/snipedeal/src/snipedeal/transport.py
+++ b/packages/snipedeal/src/snipedeal/transport.py
@@ -275,7 +275,8 @@
         _add_bytes(self._traffic.sent, body, len(data))
 
     async def _receive_loop(self) -> None:
-        while True:
+        # pynng drops the cancellation of a receive that completes at that moment.
+        while not self._is_closed:
             data = await self._receive_socket.arecv()
             self._process_frame(data)
             if self._receive_queued():
