--- a/packages/snipedeal-standins/src/snipedeal_standins/replica.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/replica.py
@@ -74,6 +74,8 @@
     :param after_events: number of events sent before a stream is reset.
     :param crashing_parts: IDs of prompt parts, not the last of a prompt, that crash the
         replica when it begins to answer; not limited by ``count``.
+    :param crashing_paths: paths of plain requests that crash the replica; not limited
+        by ``count``.
     :param rate_limit: value of the ``Server-Limit`` header in answers, empty for none;
         not limited by ``count``. The replica does not enforce it.
     """
@@ -82,6 +84,7 @@
     count: int = 0
     after_events: int = 2
     crashing_parts: set[str] = attrs.Factory(set)
+    crashing_paths: set[str] = attrs.Factory(set)
     rate_limit: str = ""
 
 
@@ -207,6 +210,9 @@
             await self._send_stream(run, mode, writer)
         else:
             self.runs.append(run)
+            if run.target in self.faults.crashing_paths:
+                self.crash()
+                await asyncio.sleep(3600)
             await asyncio.sleep(self.spec.work_ms / 1000)
             await self._send_response(run, mode, writer)
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -255,3 +255,23 @@
     answer = await connection.receive()
     assert answer.status == 502
     assert len(runs_with(edge, CRASHING)) == 2
+
+
+FIVE_DESKS = [ReplicaSpec(f"desk-{i}", "desk") for i in range(5)]
+
+
+@on_edge(FIVE_DESKS, routers=3)
+async def test_same_request_sent_again_does_not_crash_target_after_target(edge):
+    for replica in edge.replicas.values():
+        replica.faults.crashing_paths.add("/lookup/bad")
+    for number in range(15):
+        connection = edge.caller_connection(number % 3)
+        await connection.request("GET", "/lookup/bad", f"bad-{number}")
+        await connection.close()
+        await asyncio.sleep(0.1)
+    runs = [run for run in edge.runs() if run.target == "/lookup/bad"]
+    assert len(runs) <= CRASHES_UNTIL_CONTAINED + REQUESTS_AFTER_CONTAINED
+    await edge.wait_until(lambda: len(edge.replicas) == len(FIVE_DESKS))
+    connection = edge.caller_connection()
+    answer = await connection.request("GET", "/lookup/good", "good")
+    assert answer.status == 200
