--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -69,9 +69,9 @@
 
     Loads, queues and customers' usage are reported as absolute values rather than
     differences, so that the next refresh repairs the loss of a datagram; they are
-    dropped when their sender falls silent. Crashes are repeated with each refresh by a
-    few routers that know of them. Reports of prompt parts and of records from the store
-    are not repeated.
+    dropped when their sender falls silent. Crashes and rate limits of targets are
+    repeated with each refresh by a few routers that know of them. Reports of prompt
+    parts and of records from the store are not repeated.
 
     :param router: the router that owns this object.
     """
--- a/packages/snipedeal/src/snipedeal/quarantine.py
+++ b/packages/snipedeal/src/snipedeal/quarantine.py
@@ -122,7 +122,7 @@
     def clear(self, traits: t.Iterable[Trait], now_ms: float) -> list[Crash]:
         """Clear the traits of a request that a target has answered.
 
-        ... crashes in which one of them was a suspect.
+        :return: the crashes in which one of them was a suspect.
         """
         known = self._suspects.intersection(traits)
         if not known:
