Let a resumed stream end without events if its end is marked

An empty body that has a length or chunks says that nothing is left; one that ends with its connection may be a target that ended early, and stays broken.

--- a/packages/snipedeal-direct/src/snipedeal_direct/egress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/egress.py
@@ -74,6 +74,11 @@
         if self._transport is not None and not self.is_closed:
             self._transport.write(data)
 
+    @property
+    def ends_at_eof(self) -> bool:
+        """Whether the body has neither a length nor chunks and ends at the close."""
+        return self._ends_at_eof
+
     async def head(self) -> ResponseHead:
         """Return the head of the response.
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -522,8 +522,8 @@
             raise BrokenResponseError(
                 "stream ended in the middle of an event", "answer"
             )
-        if is_resumed and not event_bytes:
-            # Whether the caller has all events is unknown; the end must not say so.
+        if is_resumed and not event_bytes and connection.ends_at_eof:
+            # Without a length or chunks, this may be a target that ended early.
             raise BrokenResponseError("resumed stream has no events", "answer")
         if not exchange.has_begun:
             exchange.begin(head.status, _end_to_end_headers(head.headers))
