--- a/tests/test_queue_limit.py
+++ b/tests/test_queue_limit.py
@@ -16,9 +16,11 @@
 from snipedeal.messages import DispatchDeclined
 from snipedeal.metrics import Metrics
 from snipedeal.placement import Candidate
+from snipedeal.quarantine import CrashEvidence
 from snipedeal.quarantine import Quarantine
 from snipedeal.retries import RetryBudgets
 from snipedeal_router.dispatcher import Dispatcher
+from snipedeal_router.incidents import IncidentReader
 from snipedeal_router.publishing import Publisher
 from snipedeal_router.requests import Phase
 from snipedeal_router.requests import Request
@@ -61,8 +63,10 @@
         node=node,
         settings=types.SimpleNamespace(placement="spread"),
         quarantine=Quarantine(),
+        evidence=CrashEvidence(),
         budgets=RetryBudgets(),
     )
+    router.plugins = {"incidents": IncidentReader(router)}
     dispatcher = Dispatcher(router)
     dispatcher._gates = StubGates()
     return dispatcher
