--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -179,6 +179,8 @@
 #: Interval between updates of the customers' shares, ms; about the age of the reports
 #: of two dozen peers.
 SHARES_INTERVAL_MS = 90
+#: Interval at which the parts of rate limits follow the routers' demand, ms.
+LIMITS_INTERVAL_MS = 500
 #: A peer's reports expire this long after its last one, ms; tolerates the loss of
 #: several datagrams.
 PEER_STALE_MS = 1_000
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -75,6 +75,7 @@
         self._is_scheduled = False
         self._dispatch_delay_ms = float(defaults.DISPATCH_DELAY_MS)
         self._shares_updated_ms = 0.0
+        self._limits_updated_ms = 0.0
         self._accounts_logged_ms = 0.0
         self._task: asyncio.Task[None] | None = None
 
@@ -305,9 +306,12 @@
             if now_ms - self._shares_updated_ms >= defaults.SHARES_INTERVAL_MS:
                 self._shares_updated_ms = now_ms
                 for queue in self.queues.values():
-                    self._update_limits(queue)
                     if queue.engine is not None and self._capacity:
                         queue.shares.update(self._capacity, now_ms)
+            if now_ms - self._limits_updated_ms >= defaults.LIMITS_INTERVAL_MS:
+                self._limits_updated_ms = now_ms
+                for queue in self.queues.values():
+                    self._update_limits(queue)
             if now_ms - self._accounts_logged_ms >= defaults.ACCOUNTS_INTERVAL_MS:
                 self._accounts_logged_ms = now_ms
                 self._log_accounts(now_ms)
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from snipedeal.limits import rate_shares
+from snipedeal.limits import divide_limits
 from snipedeal.utils import stable_hash
 from snipedeal_direct import defaults
 from snipedeal_direct.accounting import CustomerAccounts
@@ -138,18 +138,18 @@
 
         :param routers: names of the live routers.
         """
-        limited = sorted(name for name, load in self.targets.items() if load.limit)
-        if not limited:
+        limits = {name: load.limit for name, load in self.targets.items() if load.limit}
+        if not limits:
             return
         known = self.shares.demand_by_router(own_name, now_ms)
         demand = {name: known.get(name, 0.0) for name in {own_name, *routers}}
         is_all_limited = all(load.limit for load in self.usable(now_ms))
-        least = math.ceil(len(demand) / len(limited)) if is_all_limited else 1
-        for position, name in enumerate(limited):
-            limit = self.targets[name].limit
-            if limit is not None:
-                parts = rate_shares(limit.limit, demand, position, least)
-                limit.set_rate(parts.get(own_name, 0.0), now_ms)
+        least = math.ceil(len(demand) / len(limits)) if is_all_limited else 1
+        parts = divide_limits(
+            {name: limit.limit for name, limit in limits.items()}, demand, least
+        )
+        for name, limit in limits.items():
+            limit.set_rate(parts[name].get(own_name, 0.0), now_ms)
 
     # -- calls -----------------------------------------------------------------
 
--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -107,6 +107,8 @@
 RATE_LIMIT_RESERVE = 0.8
 # Fraction of the routers' mean demand below which one gets no part of a limit.
 RATE_LIMIT_DEMAND_FLOOR = 0.1
+# Rounds in which the parts of limits are fitted to the routers' demand.
+RATE_LIMIT_FITTING_ROUNDS = 8
 
 # -- background tasks, monitoring and target agents ----------------------------
 LOOP_RESTART_DELAY_MS = 200
--- a/packages/snipedeal/src/snipedeal/limits.py
+++ b/packages/snipedeal/src/snipedeal/limits.py
@@ -29,31 +29,68 @@
     return limit if math.isfinite(limit) and limit >= 0 else None
 
 
-def rate_shares(
-    limit: float, demand: t.Mapping[str, float], position: int = 0, least: int = 1
-) -> dict[str, float]:
-    """Divide a target's rate limit among the routers that may send to it.
-
-    Only as many routers as requests fit in a second get a part, so that a small limit
-    is not divided into parts that are too small to use.
-
-    :param limit: requests a second that the target takes from all routers.
-    :param demand: recent demand for the target's service, by router, in any unit.
-    :param position: the target's position among the limited targets of its service;
-        other targets get other routers.
-    :param least: smallest number of routers to divide the limit among.
-    :return: requests a second, by router.
+def divide_limits(
+    limits: t.Mapping[str, float], demand: t.Mapping[str, float], least: int = 1
+) -> dict[str, dict[str, float]]:
+    """Divide the rate limits of a service's targets among the routers.
+
+    Only as many routers as requests fit in a second get a part of a limit, so that a
+    small one is not divided into parts that are too small to use. All parts of a router
+    together are in proportion to its demand, as far as its targets allow.
+
+    :param limits: requests a second that each target takes from all routers.
+    :param demand: recent demand for the service, by router, in any unit.
+    :param least: smallest number of routers to divide a limit among.
+    :return: requests a second, by target and router.
     """
-    limit = max(limit, defaults.RATE_LIMIT_PROBES_PER_S)
     floor = defaults.RATE_LIMIT_DEMAND_FLOOR * sum(demand.values()) / len(demand)
     active = sorted(name for name, units in demand.items() if units >= floor)
-    count = min(len(active), max(1, int(limit), least))
-    start = position * count
-    block = [active[(start + number) % len(active)] for number in range(count)]
-    total = sum(demand[name] for name in block)
-    if total <= 0:
-        return dict.fromkeys(block, limit / count)
-    return {name: limit * demand[name] / total for name in block}
+    limits = {
+        target: max(limits[target], defaults.RATE_LIMIT_PROBES_PER_S)
+        for target in sorted(limits)
+    }
+    users: dict[str, list[str]] = {}
+    for position, (target, limit) in enumerate(limits.items()):
+        count = min(len(active), max(1, int(limit), least))
+        # Neighbours share routers, so that demand can be balanced across targets.
+        start = position * len(active) // len(limits)
+        users[target] = [
+            active[(start + number) % len(active)] for number in range(count)
+        ]
+    total_demand = sum(demand[name] for name in active)
+    wanted = {
+        name: sum(limits.values())
+        * (demand[name] / total_demand if total_demand else 1 / len(active))
+        for name in active
+    }
+    # Iterative proportional fitting (Deming and Stephan 1940).
+    weights = dict(wanted)
+    for _ in range(defaults.RATE_LIMIT_FITTING_ROUNDS):
+        got = dict.fromkeys(active, 0.0)
+        for parts in _parts(limits, users, weights).values():
+            for name, rate in parts.items():
+                got[name] += rate
+        weights = {
+            name: weights[name] * wanted[name] / got[name] if got[name] else 0.0
+            for name in active
+        }
+    return _parts(limits, users, weights)
+
+
+def _parts(
+    limits: t.Mapping[str, float],
+    users: t.Mapping[str, t.Sequence[str]],
+    weights: t.Mapping[str, float],
+) -> dict[str, dict[str, float]]:
+    """Divide each limit among its users in proportion to their weights."""
+    parts = {}
+    for target, names in users.items():
+        total = sum(weights[name] for name in names)
+        parts[target] = {
+            name: limits[target] * (weights[name] / total if total else 1 / len(names))
+            for name in names
+        }
+    return parts
 
 
 @attrs.define
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,8 +12,8 @@
 from test_queueing import make_queue
 
 from snipedeal.limits import RateLimit
+from snipedeal.limits import divide_limits
 from snipedeal.limits import parse_rate_limit
-from snipedeal.limits import rate_shares
 from snipedeal_direct import peers
 
 
@@ -155,6 +155,10 @@
     await edge.wait_until(lambda: not limits_known(edge.routers[0]))
 
 
+def rate_shares(limit, demand):
+    return divide_limits({"t": limit}, demand)["t"]
+
+
 def make_fleet(demand):
     return {f"router-{n:03}": units for n, units in enumerate(demand)}
 
@@ -173,10 +177,29 @@
     assert sum(rate_shares(6.0, make_fleet([0.0] * 40)).values()) == 6.0
 
 
+def rates_by_router(limits, demand, least=1):
+    rates = dict.fromkeys(demand, 0.0)
+    for parts in divide_limits(limits, demand, least).values():
+        for name, rate in parts.items():
+            rates[name] += rate
+    return rates
+
+
 def test_every_router_has_a_part_where_all_targets_are_limited():
-    demand = make_fleet([100.0] * 40)
-    named = [rate_shares(5.0, demand, position, least=10) for position in range(4)]
-    assert set().union(*named) == set(demand)
+    limits = {f"t{number}": 5.0 for number in range(4)}
+    rates = rates_by_router(limits, make_fleet([100.0] * 40), least=10)
+    assert min(rates.values()) == pytest.approx(0.5)
+
+
+def test_customers_of_busy_routers_get_no_less_of_the_limits_than_others():
+    rng = random.Random(1)
+    demand = make_fleet([rng.paretovariate(1.2) for _ in range(25)])
+    limits = {f"t{number:02}": rng.uniform(4.0, 6.0) for number in range(23)}
+    rates = rates_by_router(limits, demand, least=2)
+    scale = sum(limits.values()) / sum(demand.values())
+    served = [rates[name] / (scale * units) for name, units in demand.items()]
+    assert min(served) >= 0.5 * max(served)
+    assert sum(rates.values()) == pytest.approx(sum(limits.values()))
 
 
 @pytest.mark.parametrize("routers", [1, 5, 40, 330])
