--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -10,6 +10,7 @@
 from snipedeal_standins.edge import CUSTOMER
 from snipedeal_standins.edge import Edge
 from snipedeal_standins.edge import route
+from snipedeal_standins.replica import ReplicaFaults
 from snipedeal_standins.replica import ReplicaSpec
 
 DESK = [ReplicaSpec(f"desk-{i}", "desk") for i in range(2)]
@@ -188,14 +189,11 @@
 
 @on_edge(MODEL)
 async def test_broken_stream_is_resumed_at_another_target(edge):
-    _set_faults(edge, "cut")
     # Only the target that receives the request first breaks its stream.
-    connection = edge.caller_connection()
-    await connection.send("POST", "/draft/a", "r1", PROMPT)
-    await edge.wait_until(lambda: len(edge.runs()) == 1)
+    faults = ReplicaFaults(mode="cut", count=1)
     for replica in edge.replicas.values():
-        replica.faults.count = 0
-    answer = await connection.receive()
+        replica.faults = faults
+    answer = await edge.caller_connection().request("POST", "/draft/a", "r1", PROMPT)
     assert answer.is_complete
     id_lines = [line for line in answer.body.split(b"\n") if line.startswith(b"id:")]
     assert id_lines == [b"id: %d" % n for n in range(1, 6)]
