Name the part and the crashes for which a request is in quarantine, in the logs

From logs alone an engineer could not tell why a request was refused as quarantined: the line had the reason only, traits were hashes that nothing led back to a part, and quarantine.began had no crash, nor its time where traits tie (left_ms null).

request.refused now has the trait, the part and the targets that crashed; quarantine.began, and quarantine.probed the same for all routers; target.crashed lists parts by trait. Routers before agents add quarantine.refused to the time line. Other tests of crashes send requests with paths of their own, as callers do.

--- a/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from snipedeal import defaults as core_defaults
+from snipedeal.quarantine import Cause
 from snipedeal.quarantine import Crash
 from snipedeal.quarantine import CrashEvidence
 from snipedeal.quarantine import Standing
@@ -91,14 +92,14 @@
             return None
         traits = call_traits(call)
         now_ms = self._clock.now_ms()
-        left_ms = self.evidence.quarantine_ms(traits, now_ms)
-        if left_ms is None:
+        cause = self.evidence.find_cause(traits, now_ms)
+        if cause is None:
             return None
         if not call.attempts and self.evidence.begin_probe(traits, self._owns, now_ms):
             call.is_probe = True
-            info("quarantine.probed", request=call.id)
+            info("quarantine.probed", request=call.id, **_cause_fields(cause))
             return None
-        return _refusal(call, left_ms)
+        return _refusal(call, cause)
 
     def _owns(self, trait: Trait) -> bool:
         names = self._router.peers.live_names
@@ -235,22 +236,23 @@
                 is_repeated = trait in attempt.repeated
                 standing = Standing.REPEATED if is_repeated else Standing.SUSPECT
                 standings[trait] = max(standing, standings.get(trait, standing))
-        self._metrics.target_crashes.labels(target.service).inc()
+        key = _instance_id(target)
+        if key not in {crash.instance for crash in self.evidence.crashes}:
+            self._metrics.target_crashes.labels(target.service).inc()
         info(
             "target.crashed",
-            target=target.id,
+            target=key,
             service=target.service,
             unanswered=[attempt.call.id for attempt in instance.unsettled],
             parts=_describe_parts(instance.unsettled),
-            repeated=sum(value is Standing.REPEATED for value in standings.values()),
-            crashes=len(self.evidence.crashes),
+            repeated=[
+                _hex(trait)
+                for trait, standing in standings.items()
+                if standing is Standing.REPEATED
+            ],
         )
-        now_ms = self._clock.now_ms()
-        if self.evidence.merge(_instance_id(target), standings, now_ms):
-            known = [
-                c for c in self.evidence.crashes if c.instance == _instance_id(target)
-            ]
-            self._broadcast(known)
+        if self.evidence.merge(key, standings, self._clock.now_ms()):
+            self._broadcast([c for c in self.evidence.crashes if c.instance == key])
             self._act_on_verdicts()
         for attempt in instance.unsettled:
             attempt.call.is_suspect = True
@@ -268,10 +270,10 @@
         if quarantined == self._quarantined:
             return
         for trait in quarantined - self._quarantined:
-            left_ms = self.evidence.quarantine_ms({trait}, self._clock.now_ms())
-            info("quarantine.began", trait=f"{trait:016x}", left_ms=left_ms)
+            cause = self.evidence.cause(trait, self._clock.now_ms())
+            info("quarantine.began", **_cause_fields(cause))
         for trait in self._quarantined - quarantined:
-            info("quarantine.ended", trait=f"{trait:016x}")
+            info("quarantine.ended", trait=_hex(trait))
         self._quarantined = quarantined
         self._router.dispatcher.refuse_waiting(self._check_quarantine)
         for instance in list(self._instances.values()):
@@ -283,8 +285,8 @@
     def _check_quarantine(self, call: Call) -> Refusal | None:
         if call.is_probe:
             return None
-        left_ms = self.evidence.quarantine_ms(call_traits(call), self._clock.now_ms())
-        return None if left_ms is None else _refusal(call, left_ms)
+        cause = self.evidence.find_cause(call_traits(call), self._clock.now_ms())
+        return None if cause is None else _refusal(call, cause)
 
 
 def call_traits(call: Call) -> frozenset[Trait]:
@@ -320,9 +322,32 @@
     return parts if call.is_suspect and parts else call_traits(call)
 
 
-def _refusal(call: Call, left_ms: float) -> Refusal:
-    retry_s = max(left_ms / 1000, retry_after_s(call.id))
-    return Refusal(503, "quarantined", retry_s, is_for_load=False)
+def _refusal(call: Call, cause: Cause) -> Refusal:
+    retry_s = max(cause.left_ms / 1000, retry_after_s(call.id))
+    detail = f"{_describe(call, cause.trait)} crashed {', '.join(cause.instances)}"
+    return Refusal(503, "quarantined", retry_s, is_for_load=False, detail=detail)
+
+
+def _describe(call: Call, trait: Trait) -> str:
+    """Return what a trait of a call stands for."""
+    for part in call.prompt.parts if call.prompt else ():
+        if stable_hash("part", part.id) == trait:
+            return f"trait {_hex(trait)}, part {part.id},"
+    return f"trait {_hex(trait)}, the whole request,"
+
+
+def _cause_fields(cause: Cause) -> dict[str, t.Any]:
+    return {
+        "trait": _hex(cause.trait),
+        "crashes": cause.count,
+        "targets": list(cause.instances),
+        "ties": sorted(map(_hex, cause.ties)),
+        "left_ms": round(cause.left_ms),
+    }
+
+
+def _hex(trait: Trait) -> str:
+    return f"{trait:016x}"
 
 
 def _crash_report(crash: Crash, now_ms: float) -> CrashReport:
@@ -330,14 +355,15 @@
     return CrashReport(crash.instance, age_ms, tuple(crash.standings.items()))
 
 
-def _describe_parts(attempts: t.Iterable[Attempt]) -> list[str]:
+def _describe_parts(attempts: t.Iterable[Attempt]) -> dict[str, str]:
+    """Return the shared parts of unanswered calls, by trait."""
     parts = {
-        part.id
+        _hex(stable_hash("part", part.id)): part.id
         for attempt in attempts
         if attempt.call.prompt is not None
         for part in attempt.call.prompt.parts[:-1]
     }
-    return sorted(parts)[: core_defaults.CRASH_PARTS]
+    return dict(list(parts.items())[: core_defaults.CRASH_PARTS])
 
 
 def _instance_id(target: Target) -> str:
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -613,6 +613,7 @@
             request=call.id if call else request_id,
             status=refusal.status,
             reason=refusal.reason,
+            detail=refusal.detail,
             retry_after_s=round(refusal.retry_after_s, 2),
             route=call.route.name if call else "",
             customer=call.customer if call else "",
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -41,12 +41,14 @@
     :param retry_after_s: seconds after which a retry may succeed.
     :param is_for_load: whether there was too little capacity; the customer is then
         underserved.
+    :param detail: what the log line adds to the reason.
     """
 
     status: int
     reason: str
     retry_after_s: float
     is_for_load: bool = True
+    detail: str = ""
 
 
 @attrs.define(eq=False)
--- a/packages/snipedeal-router/src/snipedeal_router/incidents.py
+++ b/packages/snipedeal-router/src/snipedeal_router/incidents.py
@@ -94,11 +94,19 @@
             return True
         if request.is_probe or not self._evidence.quarantined:
             return False
-        if self._evidence.quarantine_ms(request.traits, now_ms) is None:
+        cause = self._evidence.find_cause(request.traits, now_ms)
+        if cause is None:
             return False
         request.is_probe = not request.may_have_run and self._evidence.begin_probe(
             request.traits, self._owns, now_ms
         )
+        self._node.events.add(
+            "quarantine.probed" if request.is_probe else "quarantine.refused",
+            request.id,
+            trait=f"{cause.trait:016x}",
+            crashes=list(cause.instances),
+            left_ms=round(cause.left_ms),
+        )
         return not request.is_probe
 
     def clear(self, request: Request) -> None:
--- a/packages/snipedeal/src/snipedeal/quarantine.py
+++ b/packages/snipedeal/src/snipedeal/quarantine.py
@@ -63,6 +63,23 @@
     until_ms: float
 
 
+@attrs.frozen
+class Cause:
+    """Why requests with a trait are in quarantine.
+
+    :param count: independent crashes with the trait.
+    :param ties: other traits that a request must have as well to be refused.
+    :param instances: the targets that crashed, in order.
+    :param left_ms: time until a probe may be sent, at least 0.
+    """
+
+    trait: Trait
+    count: int
+    ties: frozenset[Trait]
+    instances: tuple[str, ...]
+    left_ms: float
+
+
 @attrs.define
 class CrashEvidence:
     """The crashes of the last minutes and the traits in quarantine that follow.
@@ -136,13 +153,26 @@
         self._update(now_ms)
         return changed
 
-    def quarantine_ms(self, traits: t.Collection[Trait], now_ms: float) -> float | None:
-        """Return how long requests with these traits are refused, at least 0.
+    def find_cause(self, traits: t.Collection[Trait], now_ms: float) -> Cause | None:
+        """Return why a request with these traits is refused, ``None`` if it is not."""
+        found = self._find(traits)
+        return None if found is None else self.cause(found[0], now_ms)
+
+    def cause(self, trait: Trait, now_ms: float) -> Cause:
+        """Return why a trait is in quarantine.
 
-        :return: ``None`` if they may be sent; 0 if only a probe may.
+        :raises KeyError: it is not.
         """
-        found = self._find(traits)
-        return None if found is None else max(0.0, found[1].until_ms - now_ms)
+        verdict = self._verdicts[trait]
+        crashes = [c for c in self._crashes.values() if trait in dict(c.suspects())]
+        crashes.sort(key=lambda crash: crash.first_seen_ms)
+        return Cause(
+            trait,
+            verdict.count,
+            verdict.ties,
+            tuple(crash.instance for crash in crashes),
+            max(0.0, verdict.until_ms - now_ms),
+        )
 
     def begin_probe(
         self,
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -10,6 +10,7 @@
 from snipedeal import defaults as core_defaults
 from snipedeal_direct import crashes
 from snipedeal_direct import defaults
+from snipedeal_direct import forwarding
 from snipedeal_direct import gossip
 from snipedeal_direct import peers
 from snipedeal_standins.replica import ReplicaSpec
@@ -68,7 +69,29 @@
     play()
     (line,) = events.named("target.crashed")
     assert line["unanswered"] == ["r1"]
-    assert line["parts"] == ["a", CRASHING]
+    assert sorted(line["parts"].values()) == ["a", CRASHING]
+
+
+def test_refusal_in_quarantine_leads_to_the_crashes_in_the_logs(events, monkeypatch):
+    monkeypatch.setattr(forwarding, "info", events.note)
+
+    @on_edge(FIVE_MODELS)
+    async def play(edge):
+        set_crashing(edge)
+        for number in range(3):
+            await send_prompt(edge, 0, f"r{number}", f"p{number}", CRASHING)
+
+    play()
+    (refused,) = events.named("request.refused")
+    (began,) = events.named("quarantine.began")
+    crashed = {line["target"]: line for line in events.named("target.crashed")}
+    assert refused["reason"] == "quarantined"
+    assert f"trait {began['trait']}, part {CRASHING}," in refused["detail"]
+    assert began["targets"] == list(crashed)
+    parts = [line["parts"][began["trait"]] for line in crashed.values()]
+    assert parts == [CRASHING, CRASHING]
+    unanswered = [line["unanswered"] for line in crashed.values()]
+    assert unanswered == [["r0"], ["r1"]]
 
 
 def test_reset_connection_is_not_logged_as_a_crash(events):
@@ -94,7 +117,8 @@
 async def send_prompt(edge, router, request_id, *parts):
     """Send a stream request on a connection of its own; return the answer."""
     connection = edge.caller_connection(router)
-    answer = await connection.request("POST", "/chat/x", request_id, prompt(*parts))
+    path = f"/chat/{request_id}"
+    answer = await connection.request("POST", path, request_id, prompt(*parts))
     await connection.close()
     return answer
 
@@ -288,7 +312,8 @@
             # Resumable, so that the router itself sends it to a second target.
             connection = edge.caller_connection(number % 3)
             headers = prompt(f"p{number}", CRASHING)
-            call = connection.request("POST", "/draft/x", f"bad-{number}", headers)
+            path = f"/draft/{number}"
+            call = connection.request("POST", path, f"bad-{number}", headers)
             bad = asyncio.ensure_future(call)
             while not bad.done():
                 await send_prompt(edge, 0, f"good-{len(edge.runs())}", f"p{number}")
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -73,7 +73,7 @@
 
 
 def is_refused(evidence, *traits, now_ms=0):
-    return evidence.quarantine_ms(frozenset(traits), now_ms) is not None
+    return evidence.find_cause(frozenset(traits), now_ms) is not None
 
 
 class TestCrashEvidence:
@@ -127,7 +127,9 @@
         assert evidence.begin_probe(traits, lambda trait: True, first_ms)
         assert not evidence.begin_probe(traits, lambda trait: True, first_ms + 1)
         evidence.merge("t2", {BAD: REPEATED}, first_ms + 100)
-        assert evidence.quarantine_ms(traits, first_ms + 100) == 2 * first_ms
+        cause = evidence.find_cause(traits, first_ms + 100)
+        assert cause.left_ms == 2 * first_ms
+        assert (cause.count, cause.instances) == (3, ("t0", "t1", "t2"))
         evidence.clear(traits, first_ms + 200)
         assert not is_refused(evidence, BAD)
 
@@ -188,14 +190,14 @@
         def arrive(now_ms, router):
             evidence = evidences[router]
             traits = frozenset({BAD})
-            if evidence.quarantine_ms(traits, now_ms) is not None:
+            if evidence.find_cause(traits, now_ms) is not None:
                 return
             self.sent_ms.append(now_ms)
             standing = REPEATED if evidence.repeated(traits) else SUSPECT
             push(now_ms + response_ms, crash, router, standing, len(self.sent_ms))
 
         def crash(now_ms, router, standing, number):
-            if evidences[router].quarantine_ms(frozenset({BAD}), now_ms) is not None:
+            if evidences[router].find_cause(frozenset({BAD}), now_ms) is not None:
                 return  # Broken off before the target answered.
             self.crashed_ms.append(now_ms)
             report = (f"t{number}", {BAD: standing}, now_ms)
