Keep calls from targets that say they leave, or ask for a pause

Cause: nothing read what a target says of itself in its responses. A target that leaves got requests until the store's entry was read: unbounded while the store is away, and again when a lapsed entry came back. A target that answered 503 with Retry-After got the next request at once.

Change: both are findings about one instance of a target (ID and start time), kept beside its registration and outlasting it. Leaving is passed on to peers and repeated like crashes; a pause speaks of one router. Calls that no target may get are refused at once, with the earliest end of the pauses.

--- a/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
@@ -115,7 +115,7 @@
         attempt = Attempt(call, target, abort)
         if self.evidence.crashes:
             attempt.repeated = self.evidence.repeated(call_traits(call))
-        instance = self._instances.setdefault(_instance_id(target), _Instance(target))
+        instance = self._instances.setdefault(target.instance, _Instance(target))
         instance.unsettled.add(attempt)
         return attempt
 
@@ -147,21 +147,21 @@
 
     def end(self, attempt: Attempt) -> None:
         """Stop tracking an attempt."""
-        instance = self._instances.get(_instance_id(attempt.target))
+        instance = self._instances.get(attempt.target.instance)
         if instance is not None:
             instance.unsettled.discard(attempt)
             self._forget_if_idle(instance)
 
     def _forget_if_idle(self, instance: _Instance) -> None:
         if not instance.unsettled and instance.probe is None:
-            self._instances.pop(_instance_id(instance.target), None)
+            self._instances.pop(instance.target.instance, None)
 
     # -- crashes ---------------------------------------------------------------------
 
     async def examine(self, attempt: Attempt) -> None:
         """Find out whether the target of a broken attempt has crashed."""
         attempt.call.is_probe = False
-        instance = self._instances.get(_instance_id(attempt.target))
+        instance = self._instances.get(attempt.target.instance)
         if attempt.is_settled or instance is None:
             return
         if instance.probe is None:
@@ -236,7 +236,7 @@
                 is_repeated = trait in attempt.repeated
                 standing = Standing.REPEATED if is_repeated else Standing.SUSPECT
                 standings[trait] = max(standing, standings.get(trait, standing))
-        key = _instance_id(target)
+        key = target.instance
         if key not in {crash.instance for crash in self.evidence.crashes}:
             self._metrics.target_crashes.labels(target.service).inc()
         info(
@@ -366,11 +366,6 @@
     return dict(list(parts.items())[: core_defaults.CRASH_PARTS])
 
 
-def _instance_id(target: Target) -> str:
-    """Return an identifier of one start of a target, the same at all routers."""
-    return f"{target.id}/{target.started_ms}"
-
-
 async def _refuses_connections(target: Target) -> bool:
     """Return whether nothing listens on a target's address."""
     try:
--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -82,6 +82,16 @@
 #: Timeout of the connect that tells a crashed target from a reset connection, ms.
 CRASH_PROBE_TIMEOUT_MS = 300
 
+# -- what targets say of themselves --------------------------------------------
+#: Instances of targets of which a finding is kept, and for how long, ms. A target that
+#: leaves is gone well before that; a new one has another start time.
+FINDINGS_LIMIT = 4_096
+FINDING_KEPT_MS = 600_000.0
+#: Time after a pause in which a target's capacity becomes usable again, ms, and the
+#: fraction of it that is usable at first.
+PAUSE_RAMP_MS = 1_000.0
+PAUSE_RAMP_START = 0.1
+
 # -- queueing at the router ---------------------------------------------------
 #: Shortest delay from an event to the next dispatch, ms; batches events.
 DISPATCH_DELAY_MS = 2
@@ -194,7 +204,8 @@
 FINDING_RESENDS = 2
 #: Routers that repeat a finding with each refresh.
 FINDING_REPEATERS = 3
-#: Time for which the end of a rate limit is repeated, ms.
+#: Time for which the end of a rate limit is repeated, ms, and the leaving of a target
+#: that is not registered.
 LIMIT_END_REPEAT_MS = 20_000.0
 #: Times that the report of an idle target or queue is sent, the first included; more
 #: than one, since datagrams may be lost.
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -8,6 +8,7 @@
 from snipedeal.clock import Clock
 from snipedeal_direct import defaults
 from snipedeal_direct.accounting import log_fields
+from snipedeal_direct.findings import TargetFindings
 from snipedeal_direct.journal import info
 from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.model import Call
@@ -64,10 +65,12 @@
         self.shedder = LoadShedder(LoopLag(settings.max_lag_ms))
         self.on_sent: t.Callable[[Dispatched], None] = lambda dispatched: None
         self.on_limit: t.Callable[[TargetLoad], None] = lambda load: None
+        self.on_leaving: t.Callable[[Target], None] = lambda target: None
         self.live_routers: t.Callable[[], t.Collection[str]] = lambda: ()
         self.on_new_instance: t.Callable[[Target], None] = lambda target: None
         self._settings = settings
         self._clock = clock
+        self.findings = TargetFindings()
         self._registrations: dict[str, _Registration] = {}
         self._futures: dict[Call, asyncio.Future[Dispatched]] = {}
         # Units that all targets serve in a share window; zero if unknown.
@@ -111,9 +114,16 @@
             self.queues[registration.service].remove_target(target_id)
             del self._registrations[target_id]
         if target is None:
+            if registration is not None and not registration.target.started_ms:
+                # Nothing tells the next start of such a target from this one.
+                self.findings.forget(registration.target.instance)
             return
         self._registrations[target_id] = _Registration(target.service, target)
-        if self._queue(target.service).set_target(target):
+        queue = self._queue(target.service)
+        if queue.set_target(target):
+            load = queue.targets[target_id]
+            load.has_said_leaving = self.findings.is_leaving(target.instance)
+            load.pause = self.findings.known_pause(target.instance) or load.pause
             self.on_new_instance(target)
         self.schedule()
 
@@ -181,6 +191,62 @@
         health.note_answer(is_good, self._clock.now_ms())
         self._log_health_change(dispatched, before, "answer")
 
+    def is_withdrawn(self, dispatched: Dispatched) -> bool:
+        """Return whether the target of a call wants no more calls, by its own word."""
+        load = dispatched.load
+        return load.has_said_leaving or load.pause_left_ms(self._clock.now_ms()) > 0
+
+    def note_leaving(self, dispatched: Dispatched) -> None:
+        """Record that a target has said in a response that it leaves."""
+        target = dispatched.load.target
+        if self._apply_leaving(target.instance, target.service, dispatched.call.id):
+            self.on_leaving(target)
+
+    def apply_peer_leaving(
+        self, instance: str, service: str, seen_ms: float, peer: str
+    ) -> None:
+        """Apply another router's finding that a target leaves.
+
+        :param seen_ms: monotonic time at which it was seen.
+        """
+        self._apply_leaving(instance, service, peer, seen_ms)
+
+    def _apply_leaving(
+        self, instance: str, service: str, origin: str, seen_ms: float | None = None
+    ) -> bool:
+        now_ms = self._clock.now_ms()
+        first_ms = now_ms if seen_ms is None else seen_ms
+        if not self.findings.note_leaving(instance, first_ms):
+            return False
+        queue = self.queues.get(service)
+        for load in queue.targets.values() if queue else ():
+            if load.target.instance == instance:
+                load.has_said_leaving = True
+        info(
+            "target.leaving",
+            target=instance,
+            service=service,
+            origin=origin,
+            age_ms=round(now_ms - first_ms),
+        )
+        self.schedule()
+        return True
+
+    def pause(self, load: TargetLoad, wait_ms: float, request_id: str) -> None:
+        """Send a target nothing for as long as it asked for in a response."""
+        now_ms = self._clock.now_ms()
+        load.pause = self.findings.pause(load.target.instance)
+        if not load.pause.extend(now_ms + wait_ms):
+            return
+        info(
+            "target.paused",
+            target=load.target.id,
+            request=request_id,
+            wait_ms=round(wait_ms),
+            running=load.running,
+        )
+        self.schedule()
+
     def note_rate_limit(self, dispatched: Dispatched, limit: float | None) -> None:
         """Record the rate limit that a target named in a response.
 
@@ -310,6 +376,7 @@
                         queue.shares.update(self._capacity, now_ms)
             if now_ms - self._limits_updated_ms >= defaults.LIMITS_INTERVAL_MS:
                 self._limits_updated_ms = now_ms
+                self.findings.expire(now_ms)
                 for queue in self.queues.values():
                     self._update_limits(queue)
             if now_ms - self._accounts_logged_ms >= defaults.ACCOUNTS_INTERVAL_MS:
--- a/packages/snipedeal-direct/src/snipedeal_direct/egress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/egress.py
@@ -40,6 +40,10 @@
                 return value
         return None
 
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return all values of a header, in the order received."""
+        return [value for key, value in self.headers if key == name]
+
 
 class Connection(asyncio.Protocol):
     """A client connection that carries one request at a time.
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -8,6 +8,7 @@
 
 from snipedeal.exceptions import SnipedealError
 from snipedeal.limits import parse_rate_limit
+from snipedeal.limits import parse_retry_after
 from snipedeal_direct import defaults
 from snipedeal_direct.crashes import Attempt
 from snipedeal_direct.dispatching import RefusedError
@@ -46,6 +47,10 @@
         self.is_replaced = is_replaced
 
 
+class WithdrawnError(SnipedealError):
+    """Raised when a target said that it wants no requests before one was sent."""
+
+
 @attrs.frozen
 class _FailedResponse:
     """A response with a status outside 2xx, forwarded if no retry follows."""
@@ -269,6 +274,11 @@
                 if declined > defaults.DECLINED_LIMIT:
                     raise RefusedError(self._unavailable("unreachable")) from error
                 continue
+            except WithdrawnError as error:
+                self._router.dispatcher.note_not_run(dispatched)
+                self._log_attempt(call, dispatched, "withdrawn", str(error))
+                call.tried.add(dispatched.load.target.id)
+                continue
             except DeclinedError as error:
                 self._router.dispatcher.note_not_run(dispatched)
                 self._log_attempt(call, dispatched, "declined", str(error))
@@ -357,6 +367,9 @@
         connection = await self._router.pool.connect(
             (target.host, target.port), max_idle_s=max_idle_s
         )
+        if self._router.dispatcher.is_withdrawn(dispatched):
+            self._router.pool.release(connection)
+            raise WithdrawnError("leaves or paused", "send", target.id)
         call.attempts += 1
         crashes = self._router.crashes
         attempt = crashes.begin(call, target, connection.fail)
@@ -366,8 +379,7 @@
             )
             head = await connection.head()
             self._check_request_id(call, connection, head)
-            limit = parse_rate_limit(head.get(self._router.headers.rate_limit))
-            self._router.dispatcher.note_rate_limit(dispatched, limit)
+            self._note_target_state(dispatched, head)
             if self._is_refusal(head):
                 # The request has not run: this counts neither as an attempt nor
                 # as a failure of the target.
@@ -427,6 +439,24 @@
                 f"response carries the request ID {response_id!r}", "answer"
             )
 
+    def _note_target_state(self, dispatched: Dispatched, head: ResponseHead) -> None:
+        """Record what the head of a response says of its target's own state."""
+        if head.status == 421:
+            # Another target answers at the address; it speaks of itself.
+            return
+        dispatcher = self._router.dispatcher
+        names = self._router.headers
+        limit = parse_rate_limit(head.get(names.rate_limit))
+        dispatcher.note_rate_limit(dispatched, limit)
+        if any(value.strip() == b"1" for value in head.get_all(names.leaving)):
+            dispatcher.note_leaving(dispatched)
+        if head.status == 503:
+            wait_s = parse_retry_after(head.get_all(b"retry-after"))
+            if wait_s:
+                load = dispatched.load
+                dispatcher.pause(load, wait_s * 1000, dispatched.call.id)
+                self._metrics.target_pauses.labels(load.target.service).inc()
+
     def _is_refusal(self, head: ResponseHead) -> bool:
         """Return whether a response states that the target did not run the request."""
         return head.status == 421 or head.get(self._router.headers.not_run) is not None
--- a/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
@@ -120,6 +120,18 @@
     age_ms: int
 
 
+class LeavingReport(msgspec.Struct, array_like=True, tag="v", frozen=True):
+    """A target that has said in a response that it leaves.
+
+    :param instance: identifies one start of the target.
+    :param age_ms: time since the first response that told it, ms.
+    """
+
+    service: str
+    instance: str
+    age_ms: int
+
+
 Report = (
     TargetReport
     | QueueReport
@@ -128,6 +140,7 @@
     | RecordsReport
     | CrashReport
     | LimitReport
+    | LeavingReport
 )
 
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/load.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/load.py
@@ -9,11 +9,13 @@
 from snipedeal.limits import RateLimit
 from snipedeal_direct import defaults
 from snipedeal_direct.condition import TargetHealth
+from snipedeal_direct.findings import PauseRamp
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import EngineLimits
 from snipedeal_direct.model import Prompt
 from snipedeal_direct.model import PromptPart
 from snipedeal_direct.model import Target
+from snipedeal_direct.model import TargetState
 
 
 @attrs.define
@@ -106,6 +108,8 @@
     :param prefill_rate: smoothed prefill rate, prompt tokens per ms.
     :param limit: rate limit that the target names, ``None`` if it names none.
     :param limit_seen_ms: monotonic time of the newest response that told it.
+    :param has_said_leaving: whether it has said in a response that it leaves.
+    :param pause: time for which it wants no requests from this router.
     """
 
     target: Target
@@ -116,6 +120,8 @@
     prefill_rate: float = defaults.INITIAL_PREFILL_RATE
     limit: RateLimit | None = None
     limit_seen_ms: float = -math.inf
+    has_said_leaving: bool = False
+    pause: PauseRamp = attrs.Factory(PauseRamp)
     # Smoothed length of the prompts sent there under a rate limit, tokens.
     _mean_tokens: float = 0.0
     _peers: dict[str, LoadCounts] = attrs.Factory(dict)
@@ -137,6 +143,27 @@
         """Tokens of the target's memory reserved for requests of all routers."""
         return self.own.reserved_tokens + self._peer_total.reserved_tokens
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it leaves, by its registration or by its own word."""
+        return self.has_said_leaving or self.target.state is TargetState.LEAVING
+
+    def pause_left_ms(self, now_ms: float) -> float:
+        """Return for how long the target wants no requests, zero if it wants some."""
+        return self.pause.left_ms(now_ms)
+
+    def is_usable(self, now_ms: float) -> bool:
+        """Return whether the target may receive calls now."""
+        return not (
+            self.is_leaving
+            or self.health.is_ejected(now_ms)
+            or self.pause.left_ms(now_ms)
+        )
+
+    def capacity_fraction(self, now_ms: float) -> float:
+        """Return the fraction of its usual capacity that should be used, 0 to 1."""
+        return min(self.health.capacity_fraction(now_ms), self.pause.fraction(now_ms))
+
     @property
     def busy_ms(self) -> float:
         """Pending prefill time plus a penalty for each running request, ms."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
@@ -42,6 +42,18 @@
             ["service"],
             registry=self.registry,
         )
+        self.targets_leaving = Counter(
+            "snipedeal_direct_targets_leaving",
+            "Targets that told this router in a response that they leave.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.target_pauses = Counter(
+            "snipedeal_direct_target_pauses",
+            "Responses in which a target asked for a time without requests.",
+            ["service"],
+            registry=self.registry,
+        )
         self.quarantined = Gauge(
             "snipedeal_direct_quarantined_traits",
             "Traits of requests in quarantine because they crashed targets.",
--- a/packages/snipedeal-direct/src/snipedeal_direct/model.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/model.py
@@ -32,6 +32,7 @@
         ``length_hint``; see :func:`parse_prompt`.
     :param rate_limit: set by a target in its responses to the requests a second that it
         takes from all routers together.
+    :param leaving: set to ``1`` by a target in its responses once it leaves.
     :param resume_after: ID of the last stream event that the caller received.
     :param stripped: lower-case names that are never passed to a target.
     """
@@ -46,6 +47,7 @@
     token_counts: bytes
     length_hint: bytes
     rate_limit: bytes
+    leaving: bytes
     resume_after: bytes = b"last-event-id"
     stripped: frozenset[bytes] = frozenset()
 
@@ -151,6 +153,11 @@
     state: TargetState = TargetState.READY
     started_ms: int = 0
 
+    @property
+    def instance(self) -> str:
+        """Identifier of one start of the target, the same at all routers."""
+        return f"{self.id}/{self.started_ms}"
+
 
 @attrs.frozen
 class PromptPart:
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -14,6 +14,7 @@
 from snipedeal_direct.gossip import CrashReport
 from snipedeal_direct.gossip import CustomerReport
 from snipedeal_direct.gossip import Gossip
+from snipedeal_direct.gossip import LeavingReport
 from snipedeal_direct.gossip import LimitReport
 from snipedeal_direct.gossip import PartsReport
 from snipedeal_direct.gossip import QueueReport
@@ -27,6 +28,7 @@
 from snipedeal_direct.load import LoadCounts
 from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.model import PromptPart
+from snipedeal_direct.model import Target
 from snipedeal_direct.queueing import Dispatched
 from snipedeal_direct.settings import split_address
 
@@ -69,9 +71,9 @@
 
     Loads, queues and customers' usage are reported as absolute values rather than
     differences, so that the next refresh repairs the loss of a datagram; they are
-    dropped when their sender falls silent. Crashes and rate limits of targets are
-    repeated with each refresh by a few routers that know of them. Reports of prompt
-    parts and of records from the store are not repeated.
+    dropped when their sender falls silent. Crashes, rate limits and the leaving of
+    targets are repeated with each refresh by a few routers that know of them. Reports
+    of prompt parts and of records from the store are not repeated.
 
     :param router: the router that owns this object.
     """
@@ -88,6 +90,9 @@
         self._parts_reports: list[PartsReport] = []
         # Targets whose rate limits are still to be sent again, and how often.
         self._limit_resends: dict[str, int] = {}
+        # The same for the instances of targets that leave, with their services.
+        self._leaving_resends: dict[str, int] = {}
+        self._leaving_services: dict[str, str] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -203,6 +208,14 @@
         if isinstance(report, CrashReport):
             self._router.crashes.apply(report)
             return
+        if isinstance(report, LeavingReport):
+            # Also of a target that this router does not know yet.
+            self._leaving_services[report.instance] = report.service
+            seen_ms = self._clock.now_ms() - report.age_ms
+            self._router.dispatcher.apply_peer_leaving(
+                report.instance, report.service, seen_ms, sender
+            )
+            return
         queue = self._router.dispatcher.queues.get(report.service)
         if queue is None:
             return
@@ -311,10 +324,51 @@
         self._limit_resends[load.target.id] = defaults.FINDING_RESENDS
         self.broadcast([_limit_report(load, self._clock.now_ms())])
 
+    def report_leaving(self, target: Target) -> None:
+        """Report at once that a target has said that it leaves."""
+        self._leaving_resends[target.instance] = defaults.FINDING_RESENDS
+        self._leaving_services[target.instance] = target.service
+        self.broadcast([LeavingReport(target.service, target.instance, 0)])
+
+    def _collect_leaving(self, is_refresh: bool, now_ms: float) -> list[Report]:
+        """Return the targets that leave to report again.
+
+        Those that are no longer registered are repeated for a short time only.
+        """
+        due = set(self._leaving_resends)
+        self._leaving_resends = {
+            key: left - 1 for key, left in self._leaving_resends.items() if left > 1
+        }
+        leaving = self._router.dispatcher.findings.leaving()
+        self._leaving_services = {
+            key: service
+            for key, service in self._leaving_services.items()
+            if key in leaving
+        }
+        if is_refresh:
+            registered = {
+                target.instance for target in self._router.dispatcher.targets()
+            }
+            due |= {
+                key
+                for key, seen_ms in leaving.items()
+                if (
+                    key in registered
+                    or now_ms - seen_ms <= defaults.LIMIT_END_REPEAT_MS
+                )
+                and self.repeats(key)
+            }
+        return [
+            LeavingReport(service, key, max(0, int(now_ms - leaving[key])))
+            for key, service in self._leaving_services.items()
+            if key in due
+        ]
+
     def _collect_findings(self, is_refresh: bool) -> list[Report]:
-        """Return the crashes and rate limits to report again."""
+        """Return the crashes, rate limits and leaving targets to report again."""
         reports: list[Report] = list(self._router.crashes.reports_due(is_refresh))
         now_ms = self._clock.now_ms()
+        reports += self._collect_leaving(is_refresh, now_ms)
         due = set(self._limit_resends)
         self._limit_resends = {
             key: left - 1 for key, left in self._limit_resends.items() if left > 1
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -22,7 +22,6 @@
 from snipedeal_direct.model import EngineLimits
 from snipedeal_direct.model import Prompt
 from snipedeal_direct.model import Target
-from snipedeal_direct.model import TargetState
 from snipedeal_direct.shares import FULL_SHARE_STAGE
 from snipedeal_direct.shares import Shares
 from snipedeal_direct.shares import Tier
@@ -126,12 +125,7 @@
 
     def usable(self, now_ms: float) -> list[TargetLoad]:
         """Return the targets that may receive calls."""
-        return [
-            load
-            for load in self.targets.values()
-            if load.target.state is TargetState.READY
-            and not load.health.is_ejected(now_ms)
-        ]
+        return [load for load in self.targets.values() if load.is_usable(now_ms)]
 
     def update_limits(
         self, own_name: str, routers: t.Collection[str], now_ms: float
@@ -269,8 +263,9 @@
         """Remove and return the calls that can no longer be served in time."""
         refused = []
         kept = []
+        pause_ms = self._pause_wait_ms(now_ms)
         for item in self.waiting:
-            refusal = self._refuse_queued(item, now_ms)
+            refusal = self._refuse_queued(item, pause_ms, now_ms)
             if refusal is None:
                 kept.append(item)
             else:
@@ -408,7 +403,7 @@
         Higher tiers get less, so that capacity remains for calls of lower tiers that
         may arrive next.
         """
-        fraction = load.health.capacity_fraction(now_ms)
+        fraction = load.capacity_fraction(now_ms)
         return fraction * defaults.TIER_CAPACITY_FRACTIONS[self._tier(call)]
 
     def _has_engine_capacity(self, call: Call, load: TargetLoad, now_ms: float) -> bool:
@@ -450,9 +445,7 @@
 
         def is_free(load: TargetLoad) -> bool:
             limit = load.target.slots * defaults.PLAIN_REQUESTS_PER_SLOT
-            return load.running < max(
-                1.0, limit * load.health.capacity_fraction(now_ms)
-            )
+            return load.running < max(1.0, limit * load.capacity_fraction(now_ms))
 
         free = [load for load in loads if is_free(load)]
         if not free:
@@ -471,24 +464,51 @@
 
     def _refuse_on_arrival(self, item: QueuedCall, now_ms: float) -> Refusal | None:
         call = item.call
-        if not any(
-            load.target.state is TargetState.READY for load in self.targets.values()
-        ):
-            return Refusal(503, "no_targets", self._retry_after(call, 0.0))
+        refusal = self._refuse_without_target(call)
+        if refusal is not None:
+            return refusal
         if len(self.waiting) >= defaults.QUEUE_LIMIT:
             return Refusal(503, "queue_full", self._retry_after(call, 0.0))
-        return self._refuse_if_too_late(item, self._wait_ms(item, now_ms), now_ms)
+        pause_ms = self._pause_wait_ms(now_ms)
+        wait_ms = max(pause_ms, self._wait_ms(item, now_ms))
+        return self._refuse_if_too_late(item, wait_ms, pause_ms, now_ms)
 
-    def _refuse_queued(self, item: QueuedCall, now_ms: float) -> Refusal | None:
+    def _refuse_queued(
+        self, item: QueuedCall, pause_ms: float, now_ms: float
+    ) -> Refusal | None:
         call = item.call
+        refusal = self._refuse_without_target(call)
+        if refusal is not None:
+            return refusal
         if now_ms >= call.deadline_ms - defaults.FINAL_ANSWER_RESERVE_MS:
             return Refusal(503, "deadline", self._retry_after(call, 0.0))
-        return self._refuse_if_too_late(item, 0.0, now_ms)
+        return self._refuse_if_too_late(item, pause_ms, pause_ms, now_ms)
+
+    def _refuse_without_target(self, call: Call) -> Refusal | None:
+        """Refuse a call if all targets leave."""
+        if all(load.is_leaving for load in self.targets.values()):
+            return Refusal(503, "no_targets", self._retry_after(call, 0.0))
+        return None
+
+    def _pause_wait_ms(self, now_ms: float) -> float:
+        """Return the time until a target wants requests again, if none does now."""
+        return min(
+            (
+                load.pause_left_ms(now_ms)
+                for load in self.targets.values()
+                if not load.is_leaving
+            ),
+            default=0.0,
+        )
 
     def _refuse_if_too_late(
-        self, item: QueuedCall, wait_ms: float, now_ms: float
+        self, item: QueuedCall, wait_ms: float, pause_ms: float, now_ms: float
     ) -> Refusal | None:
-        """Refuse a call whose first event is expected after its latency limit."""
+        """Refuse a call whose first event is expected after its latency limit.
+
+        :param wait_ms: expected time until its prefill starts.
+        :param pause_ms: time until a target wants requests again, if none does now.
+        """
         call = item.call
         latency_factor = (
             defaults.LATENCY_LIMIT_FACTOR
@@ -502,6 +522,8 @@
         expected_ms = now_ms + wait_ms + item.first_event_ms
         if expected_ms <= limit_ms:
             return None
+        if pause_ms:
+            return Refusal(503, "paused", _retry_after_pause_s(call.id, pause_ms))
         return Refusal(503, "too_late", self._retry_after(call, wait_ms))
 
     def _wait_ms(self, item: QueuedCall, now_ms: float) -> float:
@@ -570,6 +592,15 @@
     return min(high, max(low * 2 * jitter, wanted_s))
 
 
+def _retry_after_pause_s(request_id: str, pause_ms: float) -> float:
+    """Return a ``Retry-After`` delay, s, that ends after a pause of all targets.
+
+    Callers return over the time in which the targets' capacity does.
+    """
+    spread = stable_hash(request_id) / 2.0**64
+    return (pause_ms + spread * defaults.PAUSE_RAMP_MS) / 1000
+
+
 @functools.lru_cache(maxsize=defaults.RENDEZVOUS_CACHE_ENTRIES)
 def _rendezvous_weight(affinity: str, target_id: str) -> float:
     """Return the rendezvous hash of a prompt part and a target, 0 to 1."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -71,6 +71,7 @@
         self.peers = Peers(self)
         self.dispatcher.on_sent = self.peers.queue_prompt_parts
         self.dispatcher.on_limit = self.peers.report_limit
+        self.dispatcher.on_leaving = self._on_target_leaving
         self.dispatcher.live_routers = lambda: self.peers.live_names
         self.crashes = CrashWatch(self)
         self.forwarder = Forwarder(self)
@@ -227,6 +228,10 @@
         )
         self.dispatcher.apply_target(target_id, target)
 
+    def _on_target_leaving(self, target: Target) -> None:
+        self.metrics.targets_leaving.labels(target.service).inc()
+        self.peers.report_leaving(target)
+
     def _on_new_instance(self, target: Target) -> None:
         # Idle connections belong to the previous process at this address.
         self.pool.forget((target.host, target.port))
--- a/packages/snipedeal-standins/src/snipedeal_standins/replica.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/replica.py
@@ -69,7 +69,8 @@
         middle of the response; ``reset`` does so before a plain response and in
         the middle of a stream; ``extra`` responds twice; ``other`` responds with
         another request's id; ``silent`` never responds; ``unframed`` responds
-        without a length; ``declined`` reports that the request was not executed.
+        without a length; ``declined`` reports that the request was not executed;
+        ``misplaced`` answers as another replica at the address would.
         ``extra`` and ``unframed`` do not affect streams.
     :param after_events: number of events sent before a stream is reset.
     :param crashing_parts: IDs of prompt parts, not the last of a prompt, that crash the
@@ -78,6 +79,9 @@
         by ``count``.
     :param rate_limit: value of the ``Server-Limit`` header in answers, empty for none;
         not limited by ``count``. The replica does not enforce it.
+    :param leaving: value of the ``Server-Leaving`` header in answers, empty for none;
+        not limited by ``count``.
+    :param retry_after: values of the ``Retry-After`` headers of declined requests.
     """
 
     mode: str = ""
@@ -86,6 +90,8 @@
     crashing_parts: set[str] = attrs.Factory(set)
     crashing_paths: set[str] = attrs.Factory(set)
     rate_limit: str = ""
+    leaving: str = ""
+    retry_after: tuple[str, ...] = ()
 
 
 class Replica:
@@ -165,14 +171,16 @@
         headers = request.headers
         request_id = headers.get("snipedeal-request-attempt-id", "")
         expected = headers.get("snipedeal-expect-replica", self.spec.id)
-        if expected != self.spec.id:
+        mode = self._next_fault_mode()
+        if expected != self.spec.id or mode == "misplaced":
             response_headers = {"Snipedeal-Replica-Id": self.spec.id}
+            if self.faults.leaving:
+                response_headers["Server-Leaving"] = self.faults.leaving
             writer.write(render_response(421, response_headers, b""))
             return
-        mode = self._next_fault_mode()
         if not request_id or mode == "declined":
             status = 503 if request_id else 400
-            writer.write(render_response(status, {"Snipedeal-Not-Executed": "1"}, b""))
+            writer.write(self._render_declined(status))
             return
         async with self._slots:
             self.running += 1
@@ -274,6 +282,13 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    def _render_declined(self, status: int) -> bytes:
+        lines = [f"HTTP/1.1 {status} Unavailable", "Snipedeal-Not-Executed: 1"]
+        lines += [f"Retry-After: {value}" for value in self.faults.retry_after]
+        if self.faults.leaving:
+            lines.append(f"Server-Leaving: {self.faults.leaving}")
+        return "\r\n".join([*lines, "Content-Length: 0", "", ""]).encode()
+
     def _response_headers(self, run: Run, mode: str) -> dict[str, str]:
         request_id = "somebody-else" if mode == "other" else run.id
         headers = {
@@ -282,6 +297,8 @@
         }
         if self.faults.rate_limit:
             headers["Server-Limit"] = self.faults.rate_limit
+        if self.faults.leaving:
+            headers["Server-Leaving"] = self.faults.leaving
         return headers
 
     def _next_fault_mode(self) -> str:
--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -110,6 +110,10 @@
 # Rounds in which the parts of limits are fitted to the routers' demand.
 RATE_LIMIT_FITTING_ROUNDS = 8
 
+# -- pauses that targets ask for -------------------------------------------------
+# Longest time for which a target that names it gets no requests, s.
+PAUSE_LIMIT_S = 600.0
+
 # -- background tasks, monitoring and target agents ----------------------------
 LOOP_RESTART_DELAY_MS = 200
 EVENT_RING_SIZE = 20_000
--- a/packages/snipedeal/src/snipedeal/limits.py
+++ b/packages/snipedeal/src/snipedeal/limits.py
@@ -1,4 +1,4 @@
-"""Keep the rate limits that targets name in their responses.
+"""Keep the rate limits and the pauses that targets name in their responses.
 
 A limit holds for all routers together. This module divides it among them and paces one
 router's part; it performs no I/O and reads no clock. It answers the load of a target
@@ -6,12 +6,15 @@
 """
 
 import math
+import re
 import typing as t
 
 import attrs
 
 from snipedeal import defaults
 
+_SECONDS = re.compile(rb"\s*[0-9]{1,18}(\.[0-9]{0,18})?([eE]\+?[0-9]{1,3})?\s*")
+
 
 def parse_rate_limit(value: bytes | None) -> float | None:
     """Return a target's rate limit, requests a second.
@@ -29,6 +32,23 @@
     return limit if math.isfinite(limit) and limit >= 0 else None
 
 
+def parse_retry_after(values: t.Iterable[bytes]) -> float | None:
+    """Return for how long a target wants no requests, s.
+
+    Of several headers the longest time counts. Dates are not read: the clocks of the
+    target and of the router may differ by more than the time.
+
+    :param values: values of the response's ``Retry-After`` headers.
+    :return: ``None`` if none is a number of seconds; at most ``PAUSE_LIMIT_S``.
+    """
+    seconds = [
+        float(value)
+        for value in values
+        if _SECONDS.fullmatch(value) and math.isfinite(float(value))
+    ]
+    return min(max(seconds), defaults.PAUSE_LIMIT_S) if seconds else None
+
+
 def divide_limits(
     limits: t.Mapping[str, float], demand: t.Mapping[str, float], least: int = 1
 ) -> dict[str, dict[str, float]]:
