Decode what other processes write with one bounded, declared error

Cause: every decoder caught the errors its author had seen. An entry nested 100,000 deep, slots of 400 digits or a port of 99999 raised others; the task that follows the list, or serves all links of an agent, ended silently. A caller's token count of 1e300 ended the reports between routers.

Change: snipedeal.decoding bounds nesting, numbers, names and endpoints for both paths. Records that can't be read cost themselves only. Tasks that fail are logged, counted and started again. Targets of services that are not configured get no queue. A position that a peer announces wrongly no longer makes a follower read the store in a loop.

read_target raises RecordError instead of returning None; its tests check that error instead.

--- a/packages/snipedeal-agent/src/snipedeal_agent/health.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/health.py
@@ -1,13 +1,15 @@
 """Poll the target's health and load."""
 
 import asyncio
-import json
 import typing as t
 
 import aiohttp
+from absl import logging
 
 from snipedeal import defaults
+from snipedeal.decoding import parse_json
 from snipedeal.exceptions import TargetResponseError
+from snipedeal.exceptions import UnreadableError
 from snipedeal.membership import TARGET
 from snipedeal.plugins import register_plugin
 from snipedeal_agent.dialects import read_short_body
@@ -16,6 +18,8 @@
     from snipedeal_agent.agent import Agent
 
 _HTTP_OK = 200
+#: Largest batch size that a target may report, as in the settings.
+_SLOTS_LIMIT = 100_000
 
 
 @register_plugin(TARGET, "health")
@@ -71,17 +75,23 @@
             async with self._agent.target.session.get(url, timeout=timeout) as response:
                 if response.status != _HTTP_OK:
                     return None
-                return json.loads(await read_short_body(response))
+                load = parse_json(await read_short_body(response))
+                return load if isinstance(load, dict) else None
         except (
             aiohttp.ClientError,
             TargetResponseError,
             TimeoutError,
             OSError,
-            ValueError,
+            UnreadableError,
         ):
             return None
 
     def _update_slots(self, load: dict[str, t.Any]) -> None:
         """Use the target's batch size as number of slots if none is configured."""
-        if self._agent.settings.slots == 0:
-            self._agent.gate.slots = int(load.get("max_batch", 1))
+        if self._agent.settings.slots:
+            return
+        slots = load.get("max_batch", 1)
+        if isinstance(slots, int) and 0 < slots <= _SLOTS_LIMIT:
+            self._agent.gate.slots = slots
+        else:
+            logging.warning("ignored the target's batch size %r", str(slots)[:40])
--- a/packages/snipedeal-agent/src/snipedeal_agent/orders.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/orders.py
@@ -132,4 +132,6 @@
     def _is_loaded(self, order: Order) -> bool:
         """Return whether the target's last load report shows the order as done."""
         loaded = self._agent.plugins["health"].load.get("loaded", {})
+        if not isinstance(loaded, dict):
+            return False
         return loaded.get(order.action) == f"{order.name}@{order.version}"
--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -51,6 +51,13 @@
 #: Maximum size of one event of a stream, bytes.
 EVENT_BYTES = 262_144
 
+#: Longest time for which an idle connection is kept, s, whatever the target names.
+IDLE_REUSE_LIMIT_S = 3_600.0
+#: Largest number of tokens of a prompt, its output or one of its parts.
+PROMPT_TOKENS_LIMIT = 1_000_000_000
+#: Delay before a failed background task is started again, ms.
+TASK_RESTART_MS = 200
+
 # -- forwarding ---------------------------------------------------------------
 #: Part of the timeout reserved for answering the caller before it disconnects, ms.
 FINAL_ANSWER_RESERVE_MS = 60
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -11,6 +11,7 @@
 from snipedeal_direct.findings import TargetFindings
 from snipedeal_direct.journal import info
 from snipedeal_direct.load import TargetLoad
+from snipedeal_direct.metrics import DirectMetrics
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import RouteTable
 from snipedeal_direct.model import Target
@@ -21,6 +22,7 @@
 from snipedeal_direct.queueing import ServiceQueue
 from snipedeal_direct.settings import DirectSettings
 from snipedeal_direct.shares import Shares
+from snipedeal_direct.tasks import supervise
 
 
 class RefusedError(Exception):
@@ -60,7 +62,9 @@
     :param settings: the router's settings.
     """
 
-    def __init__(self, settings: DirectSettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: DirectSettings, clock: Clock, metrics: DirectMetrics
+    ) -> None:
         self.queues: dict[str, ServiceQueue] = {}
         self.shedder = LoadShedder(LoopLag(settings.max_lag_ms))
         self.on_sent: t.Callable[[Dispatched], None] = lambda dispatched: None
@@ -70,8 +74,11 @@
         self.on_new_instance: t.Callable[[Target], None] = lambda target: None
         self._settings = settings
         self._clock = clock
+        self._metrics = metrics
         self.findings = TargetFindings()
         self._registrations: dict[str, _Registration] = {}
+        # Services of the configuration; only these have queues.
+        self._services: frozenset[str] = frozenset()
         self._futures: dict[Call, asyncio.Future[Dispatched]] = {}
         # Units that all targets serve in a share window; zero if unknown.
         self._capacity = 0.0
@@ -89,7 +96,7 @@
 
     def start(self) -> None:
         """Start the periodic dispatch."""
-        self._task = asyncio.create_task(self._tick(), name="dispatcher")
+        self._task = supervise(self._tick, "dispatcher", self._metrics)
 
     async def close(self) -> None:
         """Stop the periodic dispatch."""
@@ -102,8 +109,11 @@
         """Apply the capacity and the engine limits of a new configuration."""
         window_s = self._settings.bounds.share_window_s
         self._capacity = table.limits.capacity_tokens_per_s * window_s
+        self._services = frozenset(table.services)
         for name, service in table.services.items():
             self._queue(name).set_engine(service.engine)
+        for registration in list(self._registrations.values()):
+            self._set_target(registration.target)
 
     def apply_target(self, target_id: str, target: Target | None) -> None:
         """Add, update or remove (``None``) a target, and schedule a dispatch."""
@@ -111,7 +121,8 @@
         if registration is not None and (
             target is None or target.service != registration.service
         ):
-            self.queues[registration.service].remove_target(target_id)
+            if registration.service in self.queues:
+                self.queues[registration.service].remove_target(target_id)
             del self._registrations[target_id]
         if target is None:
             if registration is not None and not registration.target.started_ms:
@@ -119,13 +130,23 @@
                 self.findings.forget(registration.target.instance)
             return
         self._registrations[target_id] = _Registration(target.service, target)
+        self._set_target(target)
+        self.schedule()
+
+    def _set_target(self, target: Target) -> None:
+        """Add a target to its service's queue, or update it there.
+
+        A target of a service that is not configured waits until it is: any writer of
+        the platform's store may name any service.
+        """
+        if target.service not in self._services and target.service not in self.queues:
+            return
         queue = self._queue(target.service)
         if queue.set_target(target):
-            load = queue.targets[target_id]
+            load = queue.targets[target.id]
             load.has_said_leaving = self.findings.is_leaving(target.instance)
             load.pause = self.findings.known_pause(target.instance) or load.pause
             self.on_new_instance(target)
-        self.schedule()
 
     def targets(self) -> list[Target]:
         """Return all targets that are registered."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/egress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/egress.py
@@ -354,8 +354,9 @@
     for item in value.decode("latin-1").split(","):
         name, _, text = item.strip().partition("=")
         if name.lower() == "timeout":
-            with contextlib.suppress(ValueError):
-                return int(text) * defaults.IDLE_REUSE_FRACTION
+            with contextlib.suppress(ValueError, OverflowError):
+                idle_s = min(float(text), defaults.IDLE_REUSE_LIMIT_S)
+                return max(0.0, idle_s) * defaults.IDLE_REUSE_FRACTION
     return defaults.DEFAULT_IDLE_REUSE_S
 
 
@@ -406,7 +407,7 @@
                 _, protocol = await loop.create_connection(
                     lambda: Connection(address), *address
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             reason = str(error) or "timed out"
             host, port = address
             raise ConnectError(reason, "connect", peer=f"{host}:{port}") from error
--- a/packages/snipedeal-direct/src/snipedeal_direct/following.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/following.py
@@ -72,6 +72,16 @@
                 self.behind_since_ms = now_ms
             self.peer_position = position
 
+    def note_end(self, end: int, announced: int) -> None:
+        """Record the end of the feed as the store tells it.
+
+        A peer that announced a later position before the read was wrong.
+
+        :param announced: ``peer_position`` before the read.
+        """
+        if end < announced == self.peer_position:
+            self.peer_position = end
+
     def is_behind(self, now_ms: float) -> bool:
         """Return whether a change is missing and has to be read from the store.
 
@@ -138,10 +148,14 @@
         """Record the positions that a peer announced, by feed."""
         now_ms = self._now_ms()
         for name, position in positions.items():
-            self.feed(name).note_peer_position(position, now_ms)
+            # A peer may follow feeds that this router does not know.
+            if name in self.feeds:
+                self.feed(name).note_peer_position(position, now_ms)
 
     def require_read(self, name: str, end: int) -> None:
         """Require a read of records that are too large for a datagram."""
+        if name not in self.feeds:
+            return
         feed = self.feed(name)
         if end > feed.position:
             feed.note_peer_position(end, self._now_ms())
--- a/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
@@ -54,6 +54,18 @@
             ["service"],
             registry=self.registry,
         )
+        self.odd_entries = Counter(
+            "snipedeal_direct_odd_entries",
+            "Values of other processes that could not be used, by where they stood.",
+            ["origin"],
+            registry=self.registry,
+        )
+        self.task_failures = Counter(
+            "snipedeal_direct_task_failures",
+            "Background tasks that failed and were started again.",
+            ["task"],
+            registry=self.registry,
+        )
         self.quarantined = Gauge(
             "snipedeal_direct_quarantined_traits",
             "Traits of requests in quarantine because they crashed targets.",
--- a/packages/snipedeal-direct/src/snipedeal_direct/model.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/model.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from snipedeal_direct import defaults
+
 
 class RetryPolicy(enum.Enum):
     """Whether a request may be sent again once a target may have run it."""
@@ -208,14 +210,25 @@
         prompt_parts = []
         for entry in filter(None, parts.split(",")):
             part_id, _, tokens = entry.strip().partition(":")
-            prompt_parts.append(PromptPart(part_id, int(tokens)))
-        output = int(output_text or 0)
+            prompt_parts.append(PromptPart(part_id, _parse_tokens(tokens)))
+        output = _parse_tokens(output_text or "0")
         if hint:
-            output = min(output or int(float(hint)), int(float(hint)))
-        prompt = Prompt(tuple(prompt_parts), int(prompt_text), output)
-    except ValueError:
+            expected = _parse_tokens(str(int(float(hint))))
+            output = min(output or expected, expected)
+        return Prompt(tuple(prompt_parts), _parse_tokens(prompt_text), output)
+    except (ValueError, OverflowError):
         return None
-    return prompt if prompt.tokens >= 0 else None
+
+
+def _parse_tokens(text: str) -> int:
+    """Return a number of tokens.
+
+    :raises ValueError: it is none of 0..``PROMPT_TOKENS_LIMIT``.
+    """
+    tokens = int(text)
+    if not 0 <= tokens <= defaults.PROMPT_TOKENS_LIMIT:
+        raise ValueError(f"{tokens} tokens")
+    return tokens
 
 
 Headers = t.Sequence[tuple[bytes, bytes]]
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -7,8 +7,13 @@
 import attrs
 import msgspec
 
+from snipedeal.decoding import DECODING_ERRORS
+from snipedeal.decoding import decode
+from snipedeal.decoding import is_name
+from snipedeal.decoding import split_endpoint
 from snipedeal.exceptions import MessageError
 from snipedeal.exceptions import SnipedealError
+from snipedeal.exceptions import UnreadableError
 from snipedeal.utils import rank_by_rendezvous
 from snipedeal_direct import defaults
 from snipedeal_direct.gossip import CrashReport
@@ -31,6 +36,7 @@
 from snipedeal_direct.model import Target
 from snipedeal_direct.queueing import Dispatched
 from snipedeal_direct.settings import split_address
+from snipedeal_direct.tasks import supervise
 
 if t.TYPE_CHECKING:
     from snipedeal_direct.router import DirectRouter
@@ -121,8 +127,8 @@
         loop = asyncio.get_running_loop()
         loop.add_reader(self._socket.fileno(), self._read_datagrams)
         self._tasks = [
-            asyncio.create_task(self._gossip_loop(), name="peers"),
-            asyncio.create_task(self._poll_config(), name="peer-config"),
+            supervise(self._gossip_loop, "peers", self._router.metrics),
+            supervise(self._poll_config, "peer-config", self._router.metrics),
         ]
 
     async def close(self) -> None:
@@ -143,7 +149,12 @@
                 info("peer.gone", peer=name)
                 self._drop_peer_state(name)
             return
-        parsed_address = split_address(address)
+        try:
+            parsed_address = split_endpoint(address, is_numeric=True)
+        except UnreadableError as error:
+            self._router.metrics.odd_entries.labels("routers").inc()
+            warning("peer.unreadable", peer=name[:80], error=error.message)
+            return
         known = self._peers.get(name)
         if known is None or known.address != parsed_address:
             self._peers[name] = Peer(name, parsed_address)
@@ -182,9 +193,12 @@
     def receive(self, data: bytes, address: tuple[str, int]) -> None:
         """Apply a datagram from another router."""
         try:
-            gossip = self._decoder.decode(data)
-        except msgspec.MsgspecError as error:
-            warning("peer.unreadable", error=str(error), size=len(data))
+            gossip = decode(self._decoder.decode, data)
+        except UnreadableError as error:
+            self._note_unreadable(error.message, address, len(data))
+            return
+        if not is_name(gossip.sender):
+            self._note_unreadable("no name of the sender", address, len(data))
             return
         peer = self._peers.get(gossip.sender)
         if peer is None:
@@ -199,7 +213,17 @@
         peer.is_store_reachable = gossip.is_store_reachable
         self._router.feed_tracker.note_peer_positions(gossip.positions)
         for report in gossip.reports:
-            self._apply_report(gossip.sender, report)
+            try:
+                self._apply_report(gossip.sender, report)
+            except DECODING_ERRORS as error:
+                self._note_unreadable(str(error)[:200], address, len(data))
+
+    def _note_unreadable(
+        self, reason: str, address: tuple[str, int], size: int
+    ) -> None:
+        self._router.metrics.odd_entries.labels("datagrams").inc()
+        host, port = address
+        warning("peer.unreadable", peer=f"{host}:{port}", error=reason, size=size)
 
     def _apply_report(self, sender: str, report: Report) -> None:
         if isinstance(report, RecordsReport):
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -37,6 +37,7 @@
 from snipedeal_direct.source import SOURCES
 from snipedeal_direct.source import SourceEvents
 from snipedeal_direct.source import SourceFactory
+from snipedeal_direct.tasks import supervise
 
 
 class DirectRouter:
@@ -53,7 +54,7 @@
         self.pool = Pool(
             self.clock.monotonic, lambda address: self.metrics.connects.inc()
         )
-        self.dispatcher = Dispatcher(settings, self.clock)
+        self.dispatcher = Dispatcher(settings, self.clock, self.metrics)
         self.dispatcher.on_new_instance = self._on_new_instance
         self.feed_tracker = FeedTracker(settings.name, self.clock.now_ms)
         self.is_store_unreachable = True
@@ -122,7 +123,7 @@
         self._source.start()
         await self._ingress.start(*split_address(settings.listen))
         self._tasks.append(
-            asyncio.create_task(self._expire_idle_connections(), name="expire")
+            supervise(self._expire_idle_connections, "expire", self.metrics)
         )
 
     async def close(self) -> None:
@@ -195,6 +196,7 @@
         try:
             table = self._source.read_table(document)
         except RecordError as error:
+            self.metrics.odd_entries.labels("configuration").inc()
             warning("config.unreadable", origin=origin, error=str(error))
             return
         self._apply_table(table, document, origin)
--- a/packages/snipedeal-router/src/snipedeal_router/app.py
+++ b/packages/snipedeal-router/src/snipedeal_router/app.py
@@ -8,6 +8,8 @@
 import falcon.asgi
 
 from snipedeal import defaults
+from snipedeal.decoding import parse_json
+from snipedeal.exceptions import UnreadableError
 from snipedeal.serving import add_monitoring_routes
 from snipedeal.utils import new_id
 from snipedeal_router.admission import Admission
@@ -198,10 +200,10 @@
 
 def _parse_completion(body: bytes) -> dict[str, t.Any]:
     try:
-        fields = json.loads(body)
-    except ValueError as error:
+        fields = parse_json(body)
+    except UnreadableError as error:
         raise refused_error(
-            400, "bad_json", f"the body is not JSON: {error}", "read"
+            400, "bad_json", f"the body is {error.message}", "read"
         ) from None
     if not isinstance(fields, dict) or not isinstance(fields.get("model"), str):
         raise refused_error(
--- a/packages/snipedeal-router/src/snipedeal_router/incidents.py
+++ b/packages/snipedeal-router/src/snipedeal_router/incidents.py
@@ -1,11 +1,14 @@
 """Receive incidents, the crashes of targets, from the log and directly from gates."""
 
-import json
 import typing as t
 
 import msgspec
+from absl import logging
 
 from snipedeal import defaults
+from snipedeal.decoding import DECODING_ERRORS
+from snipedeal.decoding import parse_json
+from snipedeal.exceptions import UnreadableError
 from snipedeal.membership import ROUTER
 from snipedeal.messages import Incident
 from snipedeal.platform import LogBatch
@@ -54,8 +57,11 @@
         for record in batch.records:
             self._offset = record.offset
             try:
-                incident = msgspec.convert(json.loads(record.data), Incident)
-            except (ValueError, msgspec.ValidationError):
+                incident = msgspec.convert(parse_json(record.data), Incident)
+            except (UnreadableError, *DECODING_ERRORS) as error:
+                logging.warning(
+                    "ignored incident record %d: %s", record.offset, str(error)[:200]
+                )
                 continue
             self._apply(incident)
         if not batch.records:
--- a/packages/snipedeal-router/src/snipedeal_router/publishing.py
+++ b/packages/snipedeal-router/src/snipedeal_router/publishing.py
@@ -11,9 +11,11 @@
 from snipedeal.configuration import ACCEPTED
 from snipedeal.configuration import Applied
 from snipedeal.configuration import Configuration
+from snipedeal.decoding import parse_json
 from snipedeal.exceptions import LogBusyError
 from snipedeal.exceptions import LogUnavailableError
 from snipedeal.exceptions import RecordError
+from snipedeal.exceptions import UnreadableError
 from snipedeal.platform import LogClient
 from snipedeal.records import SNAPSHOT_KIND
 from snipedeal.records import Record
@@ -66,8 +68,8 @@
     :raises RecordError: the file can't be read or is not valid JSON.
     """
     try:
-        data = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+        data = parse_json(pathlib.Path(path).read_bytes())
+    except (OSError, UnreadableError) as error:
         raise RecordError(f"{path}: {error}") from error
     items = data if isinstance(data, list) else [data]
     records: list[Record] = []
--- a/packages/snipedeal/src/snipedeal/answer.py
+++ b/packages/snipedeal/src/snipedeal/answer.py
@@ -110,7 +110,7 @@
     """
     try:
         fields = json.loads(chunk)
-    except ValueError:
+    except (ValueError, RecursionError):
         return chunk
     if isinstance(fields, dict) and "choices" in fields:
         return fields["choices"]
--- a/packages/snipedeal/src/snipedeal/claims.py
+++ b/packages/snipedeal/src/snipedeal/claims.py
@@ -17,6 +17,9 @@
 import attrs
 
 from snipedeal import defaults
+from snipedeal.decoding import DECODING_ERRORS
+from snipedeal.decoding import parse_json
+from snipedeal.exceptions import UnreadableError
 
 GRANTED = "granted"
 RUNNING = "running"
@@ -295,9 +298,8 @@
 def _read_items(data: str) -> list[t.Any]:
     """Return the items of a log record, none if the record is malformed."""
     try:
-        fields = json.loads(data)
-        return [_from_json(item) for item in fields]
-    except (ValueError, KeyError, TypeError):
+        return [_from_json(item) for item in parse_json(data)]
+    except (*DECODING_ERRORS, UnreadableError):
         return []
 
 
--- a/packages/snipedeal/src/snipedeal/clock.py
+++ b/packages/snipedeal/src/snipedeal/clock.py
@@ -5,6 +5,11 @@
 
 import attrs
 
+#: How far a peer's wall clock may be ahead of this process's, ms.
+CLOCK_SKEW_LIMIT_MS = 24 * 3_600_000
+#: Largest counter of a peer's timestamp; counts events within one millisecond.
+COUNTER_LIMIT = 2**40
+
 
 @attrs.frozen
 class Clock:
@@ -47,12 +52,19 @@
             self._counter += 1
         return self._wall_ms, self._counter
 
-    def observe(self, wall_ms: int, counter: int) -> None:
+    def observe(self, wall_ms: int, counter: int) -> bool:
         """Advance the clock to a timestamp received with a message.
 
+        One far in the future is ignored: the clock would never return from it.
+
         :param wall_ms: wall part of the sender's timestamp, in milliseconds.
         :param counter: counter part of the sender's timestamp.
+        :return: whether the timestamp is credible.
         """
+        ahead_ms = wall_ms - self.clock.wall_ms()
+        if ahead_ms > CLOCK_SKEW_LIMIT_MS or counter > COUNTER_LIMIT:
+            return False
         if (wall_ms, counter) > (self._wall_ms, self._counter):
             self._wall_ms = wall_ms
             self._counter = counter
+        return True
--- a/packages/snipedeal/src/snipedeal/codec.py
+++ b/packages/snipedeal/src/snipedeal/codec.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from snipedeal import defaults
+from snipedeal.decoding import DECODING_ERRORS
 from snipedeal.exceptions import MessageError
 from snipedeal.messages import FIELD_NAMES
 from snipedeal.messages import MESSAGE_TYPES
@@ -105,7 +106,7 @@
         )
     try:
         fields = _frame_decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise MessageError(f"invalid frame: {error}", step="decode") from error
     return Frame(*fields[1:])
 
@@ -115,7 +116,7 @@
     try:
         items = _version_decoder.decode(data)
         return msgspec.msgpack.decode(items[0], type=int)
-    except (msgspec.MsgspecError, IndexError) as error:
+    except (*DECODING_ERRORS, IndexError) as error:
         raise MessageError(f"invalid frame header: {error}", step="decode") from error
 
 
@@ -135,5 +136,5 @@
         values = _values_decoder.decode(payload)
         fields = dict(zip(FIELD_NAMES[code], values, strict=False))
         return msgspec.convert(fields, cls)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise MessageError(f"invalid message {code}: {error}", step="decode") from error
--- a/packages/snipedeal/src/snipedeal/exceptions.py
+++ b/packages/snipedeal/src/snipedeal/exceptions.py
@@ -40,6 +40,10 @@
     """A record has a schema version that this process does not support."""
 
 
+class UnreadableError(SnipedealError):
+    """Data that another process wrote can't be decoded."""
+
+
 class MessageError(SnipedealError):
     """A message or frame from a peer can't be decoded."""
 
--- a/packages/snipedeal/src/snipedeal/node.py
+++ b/packages/snipedeal/src/snipedeal/node.py
@@ -19,8 +19,10 @@
 from snipedeal.configuration import IGNORED
 from snipedeal.configuration import Applied
 from snipedeal.configuration import Configuration
+from snipedeal.decoding import parse_json
 from snipedeal.events import EventLog
 from snipedeal.exceptions import PlatformError
+from snipedeal.exceptions import UnreadableError
 from snipedeal.membership import ROUTER
 from snipedeal.membership import Membership
 from snipedeal.messages import ConfigRequest
@@ -339,7 +341,15 @@
     def _on_config_response(self, peer: str, message: ConfigResponse) -> None:
         if self.configuration.is_complete:
             return
-        if self.configuration.load_newer_snapshot(json.loads(message.snapshot)):
+        try:
+            texts = parse_json(message.snapshot)
+        except UnreadableError as error:
+            logging.warning("discarded configuration of %s: %s", peer, error)
+            return
+        if not isinstance(texts, list) or not all(isinstance(x, str) for x in texts):
+            logging.warning("discarded configuration of %s: no list of texts", peer)
+            return
+        if self.configuration.load_newer_snapshot(texts):
             self.events.add("config.adopted", peer=peer, offset=message.offset)
             self._announce_config()
 
--- a/packages/snipedeal/src/snipedeal/orders.py
+++ b/packages/snipedeal/src/snipedeal/orders.py
@@ -11,6 +11,9 @@
 
 import attrs
 
+from snipedeal.decoding import DECODING_ERRORS
+from snipedeal.decoding import parse_json
+from snipedeal.exceptions import UnreadableError
 from snipedeal.platform import LogBatch
 
 LEASE = "lease"
@@ -54,13 +57,13 @@
             return
         self._offset = offset
         try:
-            fields = json.loads(data)
+            fields = parse_json(data)
             kind, service = fields["t"], fields["service"]
             if kind == LEASE:
                 self._leases[service] = Lease(service, fields["holder"], offset)
             elif kind == FULFILLED and fields["fence"] == self.fence(service):
                 self._fulfilled[service] = fields["wish"]
-        except (ValueError, KeyError, TypeError):
+        except (*DECODING_ERRORS, UnreadableError):
             return
 
     def apply_batch(self, batch: LogBatch) -> None:
--- a/packages/snipedeal/src/snipedeal/platform.py
+++ b/packages/snipedeal/src/snipedeal/platform.py
@@ -7,22 +7,34 @@
 """
 
 import asyncio
+import re
 import typing as t
 
 import aiohttp
 import attrs
 import msgspec
+from absl import logging
 
 from snipedeal import defaults
+from snipedeal.decoding import DECODING_ERRORS
+from snipedeal.decoding import decode
+from snipedeal.decoding import is_name
+from snipedeal.decoding import split_array
+from snipedeal.decoding import split_endpoint
 from snipedeal.exceptions import LogBusyError
 from snipedeal.exceptions import LogUnavailableError
 from snipedeal.exceptions import PlatformError
+from snipedeal.exceptions import UnreadableError
 from snipedeal.membership import Vm
 from snipedeal.membership import VmList
 
 _HTTP_OK = 200
 _HTTP_TOO_MANY_REQUESTS = 429
 _HTTP_NOT_MODIFIED = 304
+#: Unreadable entries of the VM list that are described in the log.
+_ENTRIES_LOGGED = 5
+_TIME = re.compile(r"[0-9]{1,15}")
+_vm_decoder = msgspec.json.Decoder(Vm)
 
 
 @attrs.frozen
@@ -157,14 +169,21 @@
                 "vm-list",
                 self._url,
             ) from error
-        as_of_ms = int(response.headers.get("X-As-Of-Ms", "0"))
+        as_of_ms = _parse_time_ms(response.headers.get("X-As-Of-Ms", "0"))
         if response.status == _HTTP_NOT_MODIFIED and self._cached is not None:
             return attrs.evolve(self._cached, as_of_ms=as_of_ms)
         if response.status != _HTTP_OK:
             raise PlatformError(
                 f"VM list returned HTTP status {response.status}", "vm-list", self._url
             )
-        vms = _decode(body, list[Vm], "vm-list")
+        vms, unreadable = decode_vms(body)
+        if unreadable:
+            # Logged once a version of the list: an unchanged one is not sent again.
+            logging.warning(
+                "%d entries of the VM list can't be decoded: %s",
+                len(unreadable),
+                "; ".join(unreadable[:_ENTRIES_LOGGED]),
+            )
         self._etag = response.headers.get("ETag", "")
         self._cached = VmList(as_of_ms, vms)
         return self._cached
@@ -222,8 +241,49 @@
         on_batch(batch)
 
 
+def decode_vms(body: bytes) -> tuple[list[Vm], list[str]]:
+    """Return the entries of a VM list, and what is wrong with each unreadable one.
+
+    :raises PlatformError: the body is not a JSON array.
+    """
+    try:
+        entries = split_array(body)
+    except UnreadableError as error:
+        raise PlatformError(error.message, "vm-list") from error
+    vms, unreadable = [], []
+    for entry in entries:
+        try:
+            vms.append(_decode_vm(entry))
+        except UnreadableError as error:
+            unreadable.append(error.message)
+    return vms, unreadable
+
+
+def _decode_vm(entry: bytes) -> Vm:
+    vm = decode(_vm_decoder.decode, entry)
+    if not is_name(vm.name):
+        raise UnreadableError(f"{vm.name[:80]!r} is no name", "vm-list")
+    scheme, separator, endpoint = vm.address.partition("://")
+    if not scheme or not separator:
+        raise UnreadableError(f"{vm.address[:80]!r} is no address", "vm-list")
+    split_endpoint(endpoint)
+    if vm.http:
+        split_endpoint(vm.http)
+    return vm
+
+
+def _parse_time_ms(text: str) -> int:
+    """Return the platform's time in a header.
+
+    :raises PlatformError: it is no time in milliseconds.
+    """
+    if not _TIME.fullmatch(text):
+        raise PlatformError(f"{text[:80]!r} is no time", "vm-list")
+    return int(text)
+
+
 def _decode(body: bytes, cls: t.Any, step: str) -> t.Any:
     try:
         return msgspec.json.decode(body, type=cls)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise PlatformError(f"response can't be decoded: {error}", step) from error
--- a/packages/snipedeal/src/snipedeal/records.py
+++ b/packages/snipedeal/src/snipedeal/records.py
@@ -1,6 +1,5 @@
 """Configuration records in the log: envelopes and snapshots."""
 
-import json
 import typing as t
 
 import attrs
@@ -8,7 +7,10 @@
 
 from snipedeal.checking import CheckError
 from snipedeal.checking import structure
+from snipedeal.decoding import DECODING_ERRORS
+from snipedeal.decoding import parse_json
 from snipedeal.exceptions import RecordError
+from snipedeal.exceptions import UnreadableError
 from snipedeal.schemas import parse_spec
 
 SNAPSHOT_KIND = "snapshot"
@@ -81,7 +83,7 @@
     """Return the header of a snapshot part, ``None`` for other texts."""
     try:
         header = msgspec.json.decode(text, type=SnapshotPartHeader)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
     return header if header.kind == SNAPSHOT_KIND else None
 
@@ -116,9 +118,9 @@
 def parse_envelope(data: str) -> Record | SnapshotPart | RecordError:
     """Return the record in a JSON text, or the error if it is invalid."""
     try:
-        fields = json.loads(data)
-    except ValueError as error:
-        return RecordError(f"not JSON: {error}")
+        fields = parse_json(data)
+    except UnreadableError as error:
+        return RecordError(error.message)
     if not isinstance(fields, dict):
         return RecordError("not a JSON object")
     cls = SnapshotPart if fields.get("kind") == SNAPSHOT_KIND else Record
--- a/packages/snipedeal/src/snipedeal/settings.py
+++ b/packages/snipedeal/src/snipedeal/settings.py
@@ -1,6 +1,5 @@
 """Settings of the processes, read from JSON files and validated on loading."""
 
-import json
 import pathlib
 import typing as t
 
@@ -13,7 +12,9 @@
 from snipedeal.checking import one_of
 from snipedeal.checking import starting_with
 from snipedeal.checking import structure
+from snipedeal.decoding import parse_json
 from snipedeal.exceptions import SettingsError
+from snipedeal.exceptions import UnreadableError
 from snipedeal.logs import level_names
 
 _T = t.TypeVar("_T")
@@ -139,11 +140,11 @@
         message names the file, the key and the allowed values.
     """
     try:
-        data = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        data = parse_json(pathlib.Path(path).read_bytes())
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}", "settings") from error
-    except ValueError as error:
-        raise SettingsError(f"{path}: not JSON: {error}", "settings") from error
+    except UnreadableError as error:
+        raise SettingsError(f"{path}: {error.message}", "settings") from error
     try:
         return structure(data, cls)
     except CheckError as error:
--- a/packages/snipedeal/src/snipedeal/transport.py
+++ b/packages/snipedeal/src/snipedeal/transport.py
@@ -267,6 +267,8 @@
         data = encode_frame(frame)
         if peer.socket is None:
             peer.socket = _dial(peer.address)
+        if peer.socket is None:
+            return
         try:
             peer.socket.send(data, block=False)
         except (pynng.TryAgain, pynng.Closed):
@@ -278,7 +280,7 @@
         # pynng drops the cancellation of a receive that completes at that moment.
         while not self._is_closed:
             data = await self._receive_socket.arecv()
-            self._process_frame(data)
+            self._process_safely(data)
             if self._receive_queued():
                 # More than one frame was queued: pause, so that the next ones
                 # are received together.
@@ -294,9 +296,16 @@
                 data = self._receive_socket.recv(block=False)
             except pynng.TryAgain:
                 return count
-            self._process_frame(data)
+            self._process_safely(data)
         return defaults.SOCKET_BUFFER_MESSAGES
 
+    def _process_safely(self, data: bytes) -> None:
+        try:
+            self._process_frame(data)
+        # A frame that can't be processed must not end the receive task.
+        except Exception:
+            logging.exception("failed to process a frame of %d bytes", len(data))
+
     def _process_frame(self, data: bytes) -> None:
         try:
             frame = decode_frame(data)
@@ -306,7 +315,8 @@
         _add_bytes(self._traffic.received, frame.body, len(data))
         if frame.recipient != self._name:
             return
-        self._hybrid_clock.observe(frame.wall_ms, frame.counter)
+        if not self._hybrid_clock.observe(frame.wall_ms, frame.counter):
+            logging.warning("ignored the time %d of %s", frame.wall_ms, frame.sender)
         if frame.address:
             self.connect(frame.sender, frame.address)
         peer = self._peers.get(frame.sender)
@@ -341,7 +351,11 @@
         while True:
             await asyncio.sleep(_TICK_MS / 1000)
             for peer in list(self._peers.values()):
-                self._tick(peer)
+                try:
+                    self._tick(peer)
+                # What one peer causes must not end the task of all.
+                except Exception:
+                    logging.exception("failed to serve the link to %s", peer.name)
 
     def _tick(self, peer: _Peer) -> None:
         now_ms = self._clock.now_ms()
@@ -379,11 +393,17 @@
         return now_ms - peer.link.last_activity_ms >= limit_ms
 
 
-def _dial(address: str) -> pynng.Pair1:
+def _dial(address: str) -> pynng.Pair1 | None:
+    """Return a socket that connects to a peer, ``None`` if it has no usable address."""
     socket = pynng.Pair1(send_buffer_size=defaults.SOCKET_BUFFER_MESSAGES)
     socket.reconnect_time_min = 100
     socket.reconnect_time_max = 1_000
-    socket.dial(address, block=False)
+    try:
+        socket.dial(address, block=False)
+    except (pynng.NNGException, ValueError) as error:
+        logging.warning("can't connect to %r: %s", address[:80], error)
+        socket.close()
+        return None
     return socket
 
 
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -134,14 +134,17 @@
     ],
 )
 def test_registration_with_an_invalid_field_is_ignored(changes):
-    assert read_target("i-1", json.dumps({**ENTRY, **changes}).encode()) is None
+    with pytest.raises(RecordError):
+        read_target("i-1", json.dumps({**ENTRY, **changes}).encode())
 
 
 def test_registration_without_a_field_or_not_json_is_ignored():
     for field in ("service", "address", "state", "slots"):
         entry = {key: value for key, value in ENTRY.items() if key != field}
-        assert read_target("i-1", json.dumps(entry).encode()) is None
-    assert read_target("i-1", b"\x00\xff") is None
+        with pytest.raises(RecordError):
+            read_target("i-1", json.dumps(entry).encode())
+    with pytest.raises(RecordError):
+        read_target("i-1", b"\x00\xff")
 
 
 def test_read_records_of_a_keyed_topic():
