Take requests late in a stop only if they end before the process

The agents' path answered such requests 503, which callers take for 'not run'.

Change: late requests are taken if their deadline is before the end; the rest are refused as not run. On the agents' path a 503 becomes 502 if the request may have run.

--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -169,9 +169,9 @@
     def shutdown_refusal(self, call: Call, now_ms: float) -> Refusal | None:
         """Refuse a new call that may not be answered before the process ends.
 
-        Calls are accepted during the first ``STOP_ACCEPT_MS``. Later ones are
-        accepted only if more than twice their route's target latency is left; streams,
-        whose duration is unknown, are refused.
+        Calls are accepted during the first ``STOP_ACCEPT_MS``, while the load balancer
+        still routes here. Later ones are accepted only if they end before that, at the
+        latest by their deadline; streams are refused.
         """
         if not self.stopping_since_ms:
             return None
@@ -179,7 +179,7 @@
         if elapsed_ms < defaults.STOP_ACCEPT_MS:
             return None
         left_ms = self.settings.bounds.grace_ms - defaults.STOP_RESERVE_MS - elapsed_ms
-        if not call.route.is_stream and call.route.target_latency_ms * 2 < left_ms:
+        if not call.route.is_stream and call.deadline_ms <= now_ms + left_ms:
             return None
         return Refusal(503, "stopping", defaults.RETRY_AFTER_MIN_S)
 
--- a/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
+++ b/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
@@ -39,6 +39,8 @@
     from snipedeal_router.router import Router
 
 DEADLINE_OUT_OF_REACH = "deadline_out_of_reach"
+_HTTP_BAD_GATEWAY = 502
+_HTTP_UNAVAILABLE = 503
 _RETRYABLE_OUTCOMES = ("crashed", "lost", "failed", "unknown", "cancelled")
 
 
@@ -145,7 +147,8 @@
     ) -> None:
         """End a request without a complete response.
 
-        :param status: HTTP status for the caller.
+        :param status: HTTP status for the caller; 503 becomes 502 if the request may
+            have run, since callers take 503 for a promise that it has not.
         :param code: problem code of the refusal.
         :param detail: description of the refusal for the caller.
         :param step: processing step at which the request was refused.
@@ -154,6 +157,8 @@
         """
         if request.is_ended:
             return
+        if status == _HTTP_UNAVAILABLE and request.may_have_run:
+            status, retry_after_s = _HTTP_BAD_GATEWAY, 0
         request.refusal = Refusal(
             status, code, detail, request.ran, step, request.gate, retry_after_s
         )
