Close an agent's gate while its target leaves or wants a pause

Cause: agents read neither of the two. An engine that answered 503 with Retry-After was asked three times more for the stream and then reported as crashed, its requests as suspects.

Change: setting leaving_header; a 503 with Retry-After pauses the gate, the router learns the time with the gate's state and refuses at once what can't wait. Such a 503 is no crash.

--- a/packages/snipedeal-agent/src/snipedeal_agent/agent.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/agent.py
@@ -36,6 +36,8 @@
         self.exchange = DeltaExchange(self.node.name, settings.service, self.gate.times)
         self.target: Target | None = None
         self.is_target_up = False
+        self.is_target_leaving = False
+        self._paused_until_ms = 0
         self.routers: set[str] = set()
         self.plugins = {
             name: factory(self) for name, factory in PLUGINS[TARGET].items()
@@ -47,13 +49,46 @@
 
     @property
     def state(self) -> str:
-        """State reported to routers: ``up``, ``down``, ``leaving`` or ``stale``."""
+        """State reported to routers.
+
+        ``up``, ``down``, ``leaving``, ``stale``, or ``paused`` while the target wants
+        no requests.
+        """
         node = self.node
         if node.is_closing or node.membership.is_leaving(node.name):
             return "leaving"
+        if self.is_target_leaving:
+            return "leaving"
         if self.settings.holds_when_list_is_stale and self._is_list_stale():
             return "stale"
-        return "up" if self.is_target_up and self.gate.slots > 0 else "down"
+        if not self.is_target_up or self.gate.slots <= 0:
+            return "down"
+        return "paused" if self.pause_left_ms else "up"
+
+    @property
+    def pause_left_ms(self) -> int:
+        """Time for which the target wants no more requests, ms."""
+        return max(0, self._paused_until_ms - self.node.clock.now_ms())
+
+    def pause(self, wait_ms: int) -> None:
+        """Close the gate for a time; a shorter time does not end a longer one."""
+        until_ms = self.node.clock.now_ms() + wait_ms
+        if until_ms > self._paused_until_ms:
+            self._paused_until_ms = until_ms
+            self.node.events.add("target.paused", wait_ms=wait_ms)
+            self.refresh_state()
+
+    def note_target_leaving(self) -> None:
+        """Close the gate until another instance of the target answers."""
+        if not self.is_target_leaving:
+            self.is_target_leaving = True
+            self.node.events.add("target.leaving")
+            self.refresh_state()
+
+    def note_target_replaced(self) -> None:
+        """Forget what the instance that no longer answers has said of itself."""
+        self.is_target_leaving = False
+        self._paused_until_ms = 0
 
     async def start(self) -> None:
         """Start the node, then the plug-ins."""
@@ -91,9 +126,10 @@
         gate = self.gate
         # Routers dispatch to free slots unasked, which a rate limit does not allow.
         free = gate.free if gate.pace is None else 0
-        self.node.send(
-            router, CapacityReport(self.settings.service, free, gate.slots, self.state)
+        report = CapacityReport(
+            self.settings.service, free, gate.slots, self.state, self.pause_left_ms
         )
+        self.node.send(router, report)
 
     def _is_list_stale(self) -> bool:
         node = self.node
--- a/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
@@ -13,6 +13,7 @@
 from snipedeal.exceptions import TargetLostError
 from snipedeal.exceptions import TargetResponseError
 from snipedeal.limits import parse_rate_limit
+from snipedeal.limits import parse_retry_after
 from snipedeal.membership import TARGET
 from snipedeal.messages import AttemptFinished
 from snipedeal.messages import Cancel
@@ -29,6 +30,7 @@
 from snipedeal.quarantine import Standing
 from snipedeal.seeker import OfferRequestTimer
 from snipedeal_agent.dialects import Chunks
+from snipedeal_agent.dialects import Declined
 from snipedeal_agent.dialects import ResponseStart
 from snipedeal_agent.dialects import TargetEvent
 from snipedeal_agent.dialects import Usage
@@ -37,6 +39,7 @@
     from snipedeal_agent.agent import Agent
 
 _TICK_INTERVAL_MS = 100
+_HTTP_UNAVAILABLE = 503
 
 
 @attrs.define(eq=False)
@@ -356,6 +359,9 @@
 
     async def _resume_once(self, attempt: _Attempt) -> None:
         resume = t.cast(t.Any, self._agent.dialect.resume)
+        pause_ms = self._agent.pause_left_ms
+        if pause_ms:
+            await asyncio.sleep(pause_ms / 1000)
         remaining_ms = attempt.deadline_ms - self._node.clock.now_ms()
         events = resume(self._agent.target, attempt.id, attempt.offset, remaining_ms)
         await self._forward(attempt, events)
@@ -377,12 +383,30 @@
                 attempt.status = event.status
                 attempt.headers = event.headers
                 self._note_rate_limit(attempt)
+                self._note_leaving(event.headers)
+                if event.status == _HTTP_UNAVAILABLE:
+                    self._note_pause([event.headers.get("retry-after", "")])
+            elif isinstance(event, Declined):
+                self._note_leaving(event.headers)
+                self._note_pause(event.retry_after)
             elif isinstance(event, Chunks):
                 self._send_chunks(attempt, event)
             else:
                 self._charge_usage(attempt, event)
         self._finish(attempt, "ok")
 
+    def _note_leaving(self, headers: t.Mapping[str, str]) -> None:
+        """Close the gate if a response says that the target leaves."""
+        name = self._agent.settings.leaving_header
+        if name and headers.get(name.lower(), "").strip() == "1":
+            self._agent.note_target_leaving()
+
+    def _note_pause(self, values: t.Iterable[str]) -> None:
+        """Close the gate for as long as the target wants no requests."""
+        wait_s = parse_retry_after(value.encode("latin-1") for value in values)
+        if wait_s:
+            self._agent.pause(round(wait_s * 1000))
+
     def _note_rate_limit(self, attempt: _Attempt) -> None:
         """Pace the gate by the rate limit that a response names, if any."""
         name = self._agent.settings.rate_limit_header
--- a/packages/snipedeal-agent/src/snipedeal_agent/dialects.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/dialects.py
@@ -2,7 +2,7 @@
 
 A dialect registers itself in :data:`DIALECTS`. Its functions ``run`` and ``resume``
 yield a :class:`ResponseStart`, :class:`Chunks` and, if the target reports it,
-:class:`Usage`.
+:class:`Usage`, or :class:`Declined` and an error.
 """
 
 import typing as t
@@ -60,7 +60,18 @@
     output_tokens: int
 
 
-TargetEvent = ResponseStart | Chunks | Usage
+@attrs.frozen
+class Declined:
+    """A response that is not forwarded, by which the target declines a request.
+
+    :param retry_after: values of its ``Retry-After`` headers.
+    """
+
+    headers: dict[str, str]
+    retry_after: list[str]
+
+
+TargetEvent = ResponseStart | Chunks | Usage | Declined
 
 
 @attrs.frozen
--- a/packages/snipedeal-agent/src/snipedeal_agent/health.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/health.py
@@ -53,6 +53,8 @@
             self.load = load
             self._update_slots(load)
         is_up = self._consecutive_failures < defaults.TARGET_FAILURES_UNTIL_DOWN
+        if is_up and not self._agent.is_target_up:
+            self._agent.note_target_replaced()
         self._agent.is_target_up = is_up and bool(self.load)
         return load is not None
 
--- a/packages/snipedeal-agent/src/snipedeal_agent/openai.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/openai.py
@@ -15,6 +15,7 @@
 from snipedeal.messages import Dispatch
 from snipedeal_agent.dialects import DIALECTS
 from snipedeal_agent.dialects import Chunks
+from snipedeal_agent.dialects import Declined
 from snipedeal_agent.dialects import Dialect
 from snipedeal_agent.dialects import ResponseStart
 from snipedeal_agent.dialects import Target
@@ -50,6 +51,7 @@
     """Start an attempt, always with a streamed response that reports usage.
 
     :raises TargetError: the connection could not be opened, so nothing ran.
+    :raises TargetResponseError: the engine declined the request for a time.
     :raises TargetLostError: the engine is unavailable, or the connection was lost
         before the response was complete.
     """
@@ -105,6 +107,11 @@
             if is_resume and response.status == _HTTP_NOT_FOUND:
                 raise StreamUnknownError("stream unknown", "resume", target.url)
             if response.status == _HTTP_UNAVAILABLE:
+                retry_after = response.headers.getall("Retry-After", [])
+                yield Declined(forwarded_headers(response.headers), retry_after)
+                if retry_after:
+                    # It works and wants a pause, so this is no sign of a crash.
+                    raise TargetResponseError("declined", "run", target.url)
                 raise TargetLostError("the engine is down", "run", target.url)
             if is_resume and response.status != _HTTP_OK:
                 text = f"status {response.status} for a resumed stream"
--- a/packages/snipedeal-router/src/snipedeal_router/admission.py
+++ b/packages/snipedeal-router/src/snipedeal_router/admission.py
@@ -1,6 +1,7 @@
 """Admission control: check calls, acquire claims and submit requests."""
 
 import hashlib
+import math
 import typing as t
 
 import attrs
@@ -225,8 +226,13 @@
             )
         if dispatcher.queued >= self._router.settings.max_queued:
             raise _unavailable("router_full", "too many requests wait at this router")
-        response_ms = dispatcher.expected_response_ms(request.service, request.customer)
         now_ms = self._node.clock.now_ms()
+        pause_ms = dispatcher.pause_ms(request.service)
+        if pause_ms > request.remaining_ms(now_ms):
+            detail = f"all targets want no requests for {pause_ms} ms"
+            retry_after_s = math.ceil(pause_ms / 1000)
+            raise refused_error(503, "paused", detail, "queue", retry_after_s)
+        response_ms = dispatcher.expected_response_ms(request.service, request.customer)
         if response_ms > request.remaining_ms(now_ms):
             detail = f"the wait would be {response_ms} ms, beyond the deadline"
             retry_after_s = max(1, (response_ms - request.remaining_ms(now_ms)) // 1000)
--- a/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
+++ b/packages/snipedeal-router/src/snipedeal_router/dispatcher.py
@@ -118,6 +118,10 @@
         wait_ms = self._waits.expected_wait_ms(service, customer, waiting)
         return wait_ms + self._waits.run_ms(service, customer)
 
+    def pause_ms(self, service: str) -> int:
+        """Return the time until a target takes requests, if all want none now."""
+        return self._gates.pause_ms(service, self._node.clock.now_ms())
+
     def queued_count(self, service: str, customer: str) -> int:
         """Return the number of queued requests of a customer for a service."""
         return self._backlog(service).count(customer)
@@ -465,7 +469,7 @@
     # -- gates ---------------------------------------------------------------
 
     def _on_capacity_report(self, gate: str, message: CapacityReport) -> None:
-        self._gates.update_capacity(gate, message)
+        self._gates.update_capacity(gate, message, self._node.clock.now_ms())
         self._refresh_gates()
 
     def _on_gate_reset(self, gate: str) -> None:
--- a/packages/snipedeal-router/src/snipedeal_router/gates.py
+++ b/packages/snipedeal-router/src/snipedeal_router/gates.py
@@ -13,6 +13,7 @@
 from snipedeal.transport import Transport
 
 _UP = "up"
+_PAUSED = "paused"
 
 
 @attrs.define
@@ -28,6 +29,7 @@
     state: str = _UP
     free: int = 1
     busy_until_ms: int = 0
+    paused_until_ms: int = 0
     attempts: set[str] = attrs.Factory(set)
 
 
@@ -39,9 +41,13 @@
     transport: Transport
     _views: dict[str, _GateView] = attrs.Factory(dict)
 
-    def update_capacity(self, gate: str, message: CapacityReport) -> None:
-        """Store the state and free slots that a gate reported."""
+    def update_capacity(self, gate: str, message: CapacityReport, now_ms: int) -> None:
+        """Store the state and free slots that a gate reported.
+
+        :param now_ms: monotonic time.
+        """
         view = self._view(gate)
+        view.paused_until_ms = now_ms + message.pause_ms
         view.state = message.state
         view.free = message.free
 
@@ -78,6 +84,16 @@
             if self._view(vm.name).state == _UP and not self.transport.is_lost(vm.name)
         ]
 
+    def pause_ms(self, service: str, now_ms: int) -> int:
+        """Return the time until a gate takes requests again, if all targets pause.
+
+        :param now_ms: monotonic time.
+        """
+        views = [self._view(vm.name) for vm in self.membership.targets(service)]
+        if not views or any(view.state != _PAUSED for view in views):
+            return 0
+        return max(0, min(view.paused_until_ms for view in views) - now_ms)
+
     def candidates(self, service: str, now_ms: int) -> list[Candidate]:
         """Return the gates to which a request may be dispatched immediately.
 
--- a/packages/snipedeal/src/snipedeal/messages.py
+++ b/packages/snipedeal/src/snipedeal/messages.py
@@ -236,14 +236,16 @@
 
     :param free: number of free slots.
     :param slots: number of all slots.
-    :param state: ``up``, ``down``, ``leaving`` or, if the gate's VM list is too old,
-        ``stale``.
+    :param state: ``up``, ``down``, ``leaving``, ``paused`` while the target wants no
+        requests or, if the gate's VM list is too old, ``stale``.
+    :param pause_ms: time until a paused gate takes requests again.
     """
 
     service: str
     free: int
     slots: int
     state: str
+    pause_ms: int = 0
 
 
 class CustomerDelta(t.NamedTuple):
--- a/packages/snipedeal/src/snipedeal/settings.py
+++ b/packages/snipedeal/src/snipedeal/settings.py
@@ -117,6 +117,8 @@
         costs one.
     :param rate_limit_header: name of the response header in which the target names the
         requests a second that it takes; empty if it names none.
+    :param leaving_header: name of the response header in which the target says with the
+        value 1 that it leaves; empty if it does not.
     """
 
     node: NodeSettings
@@ -129,6 +131,7 @@
         default=defaults.DEFAULT_PROMPT_WEIGHT, validator=in_range(0, 10)
     )
     rate_limit_header: str = ""
+    leaving_header: str = ""
 
 
 def load_settings(path: str, cls: type[_T]) -> _T:
