Believe a response without a request ID only on a new connection

Cause: a target may write an earlier answer once more. On a connection that was in use again, a refusal without an ID was not believed, but a success, a failure or a stream was: the next caller got an answer that was not its own.

Change: any response without an ID on a connection that has carried another request counts as broken.

Tests: six cases in tests/test_stale_answers.py fail before. The stand-in shortens it at the reset now; the checks are the same, and the reset is counted.

--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -425,14 +425,14 @@
     ) -> None:
         """Reject a response that belongs, or may belong, to another request.
 
-        A target may write an earlier refusal once more. Without a request ID, a refusal
-        is believed only if the connection has carried no other request.
+        A target may write an earlier response once more. Without a request ID, a
+        response is believed only if the connection has carried no other request.
         """
         response_id = head.get(self._router.headers.request_id)
         if response_id is None:
-            if connection.is_reused and self._is_refusal(head):
+            if connection.is_reused:
                 connection.close()
-                raise BrokenResponseError("refusal without a request ID", "answer")
+                raise BrokenResponseError("response without a request ID", "answer")
         elif response_id.decode("latin-1") != call.id:
             connection.close()
             raise BrokenResponseError(
--- a/tests/test_stale_answers.py
+++ b/tests/test_stale_answers.py
@@ -15,6 +15,12 @@
     "not executed": render_response(503, {"Snipedeal-Not-Executed": "1"}, b""),
     "another replica": render_response(421, {}, b""),
 }
+#: Answers that a replica may write once more without the ID of their request.
+ANSWERS = {
+    "success": render_response(200, {"Snipedeal-Replica-Signature": "x.old"}, b"old"),
+    "failure": render_response(500, {"Snipedeal-Replica-Signature": "x.old"}, b"old"),
+    "stream": render_response(200, {"Content-Type": "text/event-stream"}, b"id: 1\n\n"),
+}
 
 
 def repeat_refusal(replica, data):
@@ -47,6 +53,30 @@
     play()
 
 
+@pytest.mark.parametrize("name", ANSWERS)
+@pytest.mark.parametrize("method, path", [("GET", "/lookup/x"), ("POST", "/change/x")])
+def test_answer_without_an_id_on_a_used_connection_is_not_forwarded(
+    name, method, path, monkeypatch
+):
+    monkeypatch.setattr(defaults, "AT_MOST_ONCE_REUSE_S", 1e9)
+
+    @on_edge(DESK)
+    async def play(edge):
+        connection = edge.caller_connection()
+        while not all(replica.runs for replica in edge.replicas.values()):
+            await connection.request(method, path, f"warm-{len(edge.runs())}")
+        for replica in edge.replicas.values():
+            repeat_refusal(replica, ANSWERS[name])
+        answer = await connection.request(method, path, "once")
+        assert b"old" not in answer.body
+        assert b"id: 1" not in answer.body
+        if method == "POST":
+            assert len([run for run in edge.runs() if run.id == "once"]) == 1
+            assert answer.status == 502
+
+    play()
+
+
 def answer_resumed(replica, write):
     """Make a replica answer requests that resume a stream with ``write``."""
     run_request = replica._run
@@ -110,18 +140,31 @@
     play()
 
 
+def end_stream_at_reset(replica, replicas):
+    """Make the stream one event shorter at all replicas when this one resets it."""
+    send = replica._send_stream
+
+    async def send_then_shorten(run, mode, writer):
+        try:
+            await send(run, mode, writer)
+        except CloseConnectionError:
+            for other in replicas:
+                other.spec.events -= 1
+            raise
+
+    replica._send_stream = send_then_shorten
+
+
 @on_edge(MODEL)
 async def test_stream_that_breaks_after_its_last_event_is_whole(edge):
     for replica in edge.replicas.values():
         replica.faults.mode, replica.faults.count = "reset", 1
         replica.faults.after_events = replica.spec.events
         replica.spec.events += 1
+        end_stream_at_reset(replica, edge.replicas.values())
     connection = edge.caller_connection()
-    await connection.send("POST", "/draft/x", "r1", PROMPT)
-    await edge.wait_until(lambda: any(run.end for run in edge.runs()))
-    for replica in edge.replicas.values():
-        replica.spec.events -= 1
-    answer = await connection.receive()
+    answer = await connection.request("POST", "/draft/x", "r1", PROMPT)
+    assert sum(run.end == "reset" for run in edge.runs()) == 1
     assert answer.is_complete
     assert answer.body.count(b"id:") == edge.replicas["model-0"].spec.events
 
