Wait for a silent engine that reports its load, until the deadline

Cause: an engine that sent no byte for 5 s was asked for the stream again, three times; after 20 s in all it was reported as crashed and its requests as suspects, although its load report was answered each time. A prompt with a long prefill did that.

Change: silence counts as no failed resumption while the engine reports its load; the caller's deadline bounds it. A stream that drips bytes without an event still ends at the deadline, and is no incident.

--- a/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/attempts.py
@@ -12,6 +12,7 @@
 from snipedeal.exceptions import TargetError
 from snipedeal.exceptions import TargetLostError
 from snipedeal.exceptions import TargetResponseError
+from snipedeal.exceptions import TargetSilentError
 from snipedeal.limits import parse_rate_limit
 from snipedeal.limits import parse_retry_after
 from snipedeal.membership import TARGET
@@ -337,7 +338,8 @@
             else:
                 self._report_crash(reason)
             return
-        for _ in range(defaults.TARGET_RESUME_ATTEMPTS):
+        failures = 0
+        while failures < defaults.TARGET_RESUME_ATTEMPTS:
             try:
                 await self._resume_once(attempt)
                 return
@@ -350,6 +352,8 @@
                     break
                 if not await self._agent.plugins["health"].probe():
                     break
+                # A long prefill is silent; the deadline bounds it.
+                failures += not isinstance(error, TargetSilentError)
         self._report_crash(reason)
 
     def _is_resumption_useless(self, attempt: _Attempt, error: TargetError) -> bool:
--- a/packages/snipedeal-agent/src/snipedeal_agent/openai.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/openai.py
@@ -12,6 +12,7 @@
 from snipedeal.exceptions import TargetError
 from snipedeal.exceptions import TargetLostError
 from snipedeal.exceptions import TargetResponseError
+from snipedeal.exceptions import TargetSilentError
 from snipedeal.messages import Dispatch
 from snipedeal_agent.dialects import DIALECTS
 from snipedeal_agent.dialects import Chunks
@@ -126,7 +127,9 @@
         raise TargetError(f"no connection: {error}", "connect", target.url) from error
     except aiohttp.ClientResponseError as error:
         raise TargetResponseError(str(error), "stream", target.url) from error
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+    except TimeoutError as error:
+        raise TargetSilentError("timed out", "stream", target.url) from error
+    except (aiohttp.ClientError, OSError) as error:
         reason = str(error) or type(error).__name__
         raise TargetLostError(reason, "stream", target.url) from error
 
--- a/packages/snipedeal/src/snipedeal/exceptions.py
+++ b/packages/snipedeal/src/snipedeal/exceptions.py
@@ -72,6 +72,10 @@
     """The connection to a target was lost before the response was complete."""
 
 
+class TargetSilentError(TargetLostError):
+    """A target sent no byte of its response for some time; the request may run."""
+
+
 class TargetResponseError(TargetLostError):
     """A target's response is invalid or too large; the request may have run.
 
