Draw leaving, shedding and odd entries in the soak and the demo

The soak's replicas say that they leave with the store silent or up, and ask for pauses; its checks follow each router from the answer that told it.

--- a/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
@@ -3,7 +3,8 @@
 The store and the replicas run in this process; each router is a separate
 process. Callers send a mixed load while one router is stopped with SIGTERM and
 another is killed, and both are restarted. Some prompts have a part that crashes
-engines, and one engine names a rate limit. A table shows the callers' outcomes.
+engines, and one engine names a rate limit. A plain replica asks for a pause, another
+says that it leaves, and the store has an odd entry. A table shows the outcomes.
 """
 
 import asyncio
@@ -37,6 +38,10 @@
 _RESTART_DELAY_S = 0.5
 #: Requests a second that one of the demo's engines says it takes.
 _RATE_LIMIT = "8"
+#: Seconds for which one of the demo's plain replicas wants no requests.
+_PAUSE_S = "0.8"
+#: An entry of the store as another writer may leave it.
+_ODD_ENTRY = b'{"x": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 #: Kinds of requests that may be executed at most once.
 AT_MOST_ONCE_KINDS = ("change", "chat")
 #: Kinds of requests whose response is a stream.
@@ -317,6 +322,11 @@
         for replica in fleet.replicas:
             replica.faults.crashing_parts.add(CRASHING_PART)
         fleet.replicas[-1].faults.rate_limit = _RATE_LIMIT
+        fleet.store.put("keyed.servers", "stranger", _ODD_ENTRY)
+        shedding, leaving = fleet.replicas[0].faults, fleet.replicas[1].faults
+        shedding.mode, shedding.count = "declined", 3
+        shedding.retry_after = (_PAUSE_S,)
+        leaving.leaving = "1"
         load = Load(fleet, random.Random(seed))
         load_task = asyncio.create_task(load.run(callers, 60))
         await asyncio.sleep(0.5)
--- a/packages/snipedeal-standins/src/snipedeal_standins/replica.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/replica.py
@@ -94,6 +94,19 @@
     retry_after: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class Decline:
+    """A request that was declined with a time for which no others are wanted.
+
+    :param at_s: monotonic time of the response.
+    :param wait_s: the time that it named, s.
+    """
+
+    request_id: str
+    at_s: float
+    wait_s: float
+
+
 class Replica:
     """Serve requests and record which of them were executed."""
 
@@ -102,6 +115,9 @@
         self.faults = ReplicaFaults()
         self.runs: list[Run] = []
         self.arrivals = 0
+        # IDs of the requests received, those declined with a Retry-After, and when.
+        self.received: list[tuple[str, float]] = []
+        self.declined: list[Decline] = []
         self.running = 0
         self.is_crashed = False
         self.on_crash: t.Callable[[Replica], None] = lambda replica: None
@@ -170,6 +186,7 @@
         self.arrivals += 1
         headers = request.headers
         request_id = headers.get("snipedeal-request-attempt-id", "")
+        self.received.append((request_id, time.monotonic()))
         expected = headers.get("snipedeal-expect-replica", self.spec.id)
         mode = self._next_fault_mode()
         if expected != self.spec.id or mode == "misplaced":
@@ -180,6 +197,9 @@
             return
         if not request_id or mode == "declined":
             status = 503 if request_id else 400
+            if self.faults.retry_after:
+                wait_s = max(map(float, self.faults.retry_after))
+                self.declined.append(Decline(request_id, time.monotonic(), wait_s))
             writer.write(self._render_declined(status))
             return
         async with self._slots:
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak.py
@@ -26,6 +26,7 @@
 from snipedeal_standins.soak_checks import SoakCall
 from snipedeal_standins.soak_faults import FAULTS
 from snipedeal_standins.soak_faults import LOAD_FAULTS
+from snipedeal_standins.soak_faults import STATE_FAULTS
 from snipedeal_standins.soak_stage import RelayedRouter
 from snipedeal_standins.soak_stage import SoakEnvironment
 from snipedeal_standins.soak_stage import SoakPlan
@@ -153,8 +154,11 @@
 
     async def _inject_faults(self, seconds: float) -> None:
         rng = self.env.rng
-        has_load_faults = self.env.plan.has_load_faults
-        names = sorted(FAULTS if has_load_faults else FAULTS.keys() - LOAD_FAULTS)
+        names = sorted(
+            FAULTS.keys()
+            - (set() if self.env.plan.has_load_faults else LOAD_FAULTS)
+            - (set() if self.env.plan.has_state_faults else STATE_FAULTS)
+        )
         end_s = time.monotonic() + seconds
         active: set[asyncio.Task[list[str]]] = set()
         while time.monotonic() < end_s and not self.violations:
@@ -237,6 +241,8 @@
             + checks.check_processes(env)
             + checks.check_crashing_part(env, calls)
             + checks.check_rate_limits(env, calls)
+            + checks.check_leaving(env, calls)
+            + checks.check_pauses(env, calls)
         )
 
 
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_checks.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_checks.py
@@ -28,6 +28,13 @@
 STABLE_S = 3.0
 #: Span over which the rate at a replica is taken, s.
 RATE_SPAN_S = 4.0
+#: Time after an answer that says that its replica leaves in which requests of the same
+#: router may still reach it, s.
+LEAVING_LIMIT_S = 2.0
+#: Requests that may reach a replica in the time that it wants none, from this time on
+#: after its answer, s.
+REQUESTS_IN_PAUSE = 2
+PAUSE_REACTION_S = 0.5
 
 
 @attrs.define
@@ -228,6 +235,64 @@
     return violations
 
 
+def check_leaving(env: SoakEnvironment, calls: t.Sequence[SoakCall]) -> list[str]:
+    """Check that routers send nothing to replicas that told them that they leave.
+
+    A restart or a pause of the router since then excuses it.
+    """
+    by_id = {call.id: call for call in calls}
+    violations = []
+    for leaving in env.leavings:
+        told_s: dict[str, float] = {}
+        for run in leaving.replica.runs:
+            call = by_id.get(run.id)
+            if call and call.answer and run.started_s >= leaving.from_s:
+                first_s = min(call.ended_s, told_s.get(call.router, call.ended_s))
+                told_s[call.router] = first_s
+        for request_id, _ in leaving.replica.received:
+            call = by_id.get(request_id)
+            if call is None or call.router not in told_s:
+                continue
+            since_s = told_s[call.router]
+            if call.sent_s > since_s + LEAVING_LIMIT_S and not env.is_affected(
+                call.router, since_s, call.sent_s
+            ):
+                violations.append(
+                    f"{call.router} sent {request_id} to {leaving.replica.spec.id}"
+                    f" {call.sent_s - since_s:.1f} s after that said that it leaves"
+                )
+    return violations
+
+
+def check_pauses(env: SoakEnvironment, calls: t.Sequence[SoakCall]) -> list[str]:
+    """Check that replicas get no requests in the time for which they want none.
+
+    A restart, a pause or a cut of the router excuses it.
+    """
+    routers = {call.id: call.router for call in calls}
+    violations = []
+    for replica in env.all_replicas():
+        for decline in replica.declined:
+            router = routers.get(decline.request_id)
+            end_s = decline.at_s + decline.wait_s
+            reached = [
+                request_id
+                for request_id, at_s in replica.received
+                if decline.at_s + PAUSE_REACTION_S < at_s < end_s
+                and routers.get(request_id) == router
+            ]
+            if (
+                router is not None
+                and len(reached) > REQUESTS_IN_PAUSE
+                and not env.is_affected(router, decline.at_s, end_s)
+            ):
+                violations.append(
+                    f"{router} sent {reached} to {replica.spec.id}, which wanted"
+                    f" nothing for {decline.wait_s} s"
+                )
+    return violations
+
+
 def _is_calm(env: SoakEnvironment, call: SoakCall | None, at_s: float) -> bool:
     """Return whether no fault may have affected a call's router before a moment."""
     return call is not None and not env.is_affected(call.router, at_s - STABLE_S, at_s)
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_faults.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_faults.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from snipedeal_standins.relay import RelayMode
+from snipedeal_standins.soak_stage import Leaving
 from snipedeal_standins.soak_stage import NamedLimit
 from snipedeal_standins.soak_stage import RelayedReplica
 from snipedeal_standins.soak_stage import RelayedRouter
@@ -28,12 +29,24 @@
 _LOAD_FAULT_FACTOR = 4
 _STORE_MODES = ("busy", "many", "reset", "silent")
 
+#: Entries as another writer may leave them.
+ODD_ENTRIES = (
+    b'{"x": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    b'{"service": "desk", "zone": "z", "state": "ready", "address": "127.0.0.1:80", '
+    b'"slots": %s}' % (b"9" * 400),
+    b'{"service": "desk", "zone": "z", "state": "ready", "slots": 6, '
+    b'"address": "127.0.0.1:99999"}',
+    b"\xff\xfe",
+)
+
 Fault = t.Callable[[SoakEnvironment, float], t.Awaitable[list[str]]]
 
 #: Faults by name; each takes its duration in s and returns violations.
 FAULTS: dict[str, Fault] = {}
 #: Names of the faults that are drawn only in runs with load faults.
 LOAD_FAULTS: set[str] = set()
+#: Names of the faults that are drawn only in runs with state faults.
+STATE_FAULTS: set[str] = set()
 
 
 def register_fault(function: Fault) -> Fault:
@@ -48,6 +61,12 @@
     return register_fault(function)
 
 
+def register_state_fault(function: Fault) -> Fault:
+    """Register a fault that is drawn only in runs with state faults."""
+    STATE_FAULTS.add(function.__name__)
+    return register_fault(function)
+
+
 # -- routers -------------------------------------------------------------------------
 
 
@@ -343,6 +362,61 @@
     return []
 
 
+# -- what replicas say of themselves, and odd entries ------------------------------
+
+
+@register_state_fault
+async def leave_replica(env: SoakEnvironment, duration_s: float) -> list[str]:
+    """Make a replica say in its answers that it leaves; then start its successor.
+
+    Its registration still says ready, and the store may be silent meanwhile.
+    """
+    relayed = _choose_replica(env)
+    replica = relayed.replica
+    if replica.faults.leaving or replica.is_crashed:
+        return []
+    replica.faults.leaving = "1"
+    env.leavings.append(Leaving(replica, time.monotonic()))
+    is_store_silent = env.rng.random() < 0.5
+    if is_store_silent:
+        env.store.faults.mode = "silent"
+    await asyncio.sleep(duration_s * 2)
+    if is_store_silent:
+        env.store.faults.mode = ""
+    if relayed.replica is not replica:
+        # It crashed meanwhile; its successor shares the faults.
+        replica.faults.leaving = ""
+        return []
+    period = env.begin_fault("leave_replica", relayed.id)
+    await env.restart_replica(relayed, relayed.id)
+    period.end()
+    return []
+
+
+@register_state_fault
+async def shed_load(env: SoakEnvironment, duration_s: float) -> list[str]:
+    """Make a replica decline some requests and ask for a time without them."""
+    relayed = _choose_replica(env)
+    faults = relayed.replica.faults
+    period = env.begin_fault("shed_load", relayed.id)
+    faults.mode, faults.count = "declined", env.rng.randrange(1, 6)
+    faults.retry_after = (f"{env.rng.uniform(0.6, 3.0):.2f}",)
+    await asyncio.sleep(duration_s)
+    faults.count = 0
+    faults.retry_after = ()
+    period.end()
+    return []
+
+
+@register_state_fault
+async def write_odd_entries(env: SoakEnvironment, duration_s: float) -> list[str]:
+    """Write entries that no decoder holds; the others must stay in effect."""
+    for number, value in enumerate(ODD_ENTRIES):
+        env.store.put("keyed.servers", f"stranger-{number}", value)
+    env.publish_version()
+    return []
+
+
 async def _apply_relay_mode(
     env: SoakEnvironment,
     relay: t.Any,
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_stage.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_stage.py
@@ -32,6 +32,8 @@
     :param has_load_faults: whether requests may crash engines and engines may name
         rate limits. Without these faults, seeds of earlier releases draw what they drew
         then.
+    :param has_state_faults: the same for replicas that say of themselves that they
+        leave or want a pause, and for odd entries.
     """
 
     seed: int = 1
@@ -41,6 +43,7 @@
     engines: int = 3
     callers: int = 8
     has_load_faults: bool = True
+    has_state_faults: bool = True
 
 
 @attrs.define
@@ -91,6 +94,14 @@
     to_s: float = float("inf")
 
 
+@attrs.frozen(eq=False)
+class Leaving:
+    """A replica that says from a monotonic time on, s, that it leaves."""
+
+    replica: Replica
+    from_s: float
+
+
 @attrs.define(eq=False)
 class RelayedRouter:
     """A router process with the relays that carry its connections.
@@ -143,6 +154,7 @@
         self.fault_periods: list[FaultPeriod] = []
         self.stops: list[Stop] = []
         self.limits: list[NamedLimit] = []
+        self.leavings: list[Leaving] = []
         # The part of prompts that crashes engines now, and all crashes by part.
         self.crashing_part = ""
         self.crashes_s: dict[str, list[float]] = {}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,11 +6,13 @@
 
 from snipedeal_standins import soak_checks as checks
 from snipedeal_standins.edge import Response
+from snipedeal_standins.replica import Decline
 from snipedeal_standins.replica import Replica
 from snipedeal_standins.replica import ReplicaSpec
 from snipedeal_standins.replica import Run
 from snipedeal_standins.soak import run_soak
 from snipedeal_standins.soak_checks import SoakCall
+from snipedeal_standins.soak_stage import Leaving
 from snipedeal_standins.soak_stage import NamedLimit
 from snipedeal_standins.soak_stage import SoakEnvironment
 from snipedeal_standins.soak_stage import SoakPlan
@@ -153,6 +155,35 @@
     assert checks.check_rate_limits(env, calls) == []
 
 
+def test_request_to_a_replica_that_said_that_it_leaves_is_detected(env):
+    (replica,) = env.replaced_replicas
+    env.leavings.append(Leaving(replica, 99.0))
+    told = make_call("lookup-1", 200, "lookup")
+    replica.runs.append(Run(told.id, {}, "GET", "/x", b"", 100.5))
+    late = make_call("lookup-2", 200, "lookup", sent_s=103.5)
+    replica.received.append((late.id, 103.5))
+    assert checks.check_leaving(env, [told, late])
+    late.router = "router-1"
+    assert checks.check_leaving(env, [told, late]) == []
+    late.router, late.sent_s = "router-0", 102.5
+    assert checks.check_leaving(env, [told, late]) == []
+    late.sent_s = 103.5
+    paused = env.begin_fault("pause_router", "router-0")
+    paused.from_s = paused.to_s = 102.0
+    assert checks.check_leaving(env, [told, late]) == []
+
+
+def test_requests_in_a_pause_that_a_replica_asked_for_are_detected(env):
+    (replica,) = env.replaced_replicas
+    calls = [make_call(f"lookup-{number}", 200, "lookup") for number in range(4)]
+    replica.declined.append(Decline("lookup-0", 100.0, 3.0))
+    replica.received += [(call.id, 101.0) for call in calls[1:]]
+    assert checks.check_pauses(env, calls)
+    assert checks.check_pauses(env, calls[:3]) == []
+    replica.received[0] = (calls[1].id, 100.4)
+    assert checks.check_pauses(env, calls) == []
+
+
 def test_unserved_load_after_the_faults_is_detected():
     served = [make_call(f"change-{n}", 200, customer="one") for n in range(10)]
     assert checks.check_recovery_load(served, ["one"]) == []
@@ -169,6 +200,11 @@
 
 @pytest.mark.parametrize("seed", sorted(REGRESSION_SEEDS))
 def test_regression_seed_has_no_violations(tmp_path, seed):
-    plan = SoakPlan(seed=seed, seconds=10.0, has_load_faults=seed in LOAD_FAULT_SEEDS)
+    plan = SoakPlan(
+        seed=seed,
+        seconds=10.0,
+        has_load_faults=seed in LOAD_FAULT_SEEDS,
+        has_state_faults=False,
+    )
     run = asyncio.run(run_soak(plan, tmp_path))
     assert run.violations == []
