Resume streams that break after their latency target has passed

Cause: a stream to be resumed was queued like a new call and refused as too late once 2.5 times its route's latency target had passed since its arrival (1.0 times beyond shares). A stream that broke later than that was cut at the caller although another target was free.

Change: a stream that has begun is queued before other calls, and waits for the next event as long as callers wait in a gap, 2 s; its deadline stays.

Also: queues of services exist before the first configuration again, as a test of dispatches expects; those that it does not name go with it.

Tests: tests/test_resumption.py, the first fails before. Suites of queueing, leaving, odd entries and stale answers: 205 passed.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -172,6 +172,8 @@
 LATENCY_LIMIT_FACTOR = 2.5
 #: The same for calls that exceed their customer's configured share.
 OVER_SHARE_LATENCY_LIMIT_FACTOR = 1.0
+#: Longest gap in a stream for which its resumption waits, ms; callers give up after it.
+RESUMPTION_WAIT_MS = 2_000.0
 #: Maximum concurrent requests for each slot of a target without a model engine.
 PLAIN_REQUESTS_PER_SLOT = 1.0
 #: Bounds of ``Retry-After``, s.
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -77,8 +77,9 @@
         self._metrics = metrics
         self.findings = TargetFindings()
         self._registrations: dict[str, _Registration] = {}
-        # Services of the configuration; only these have queues.
-        self._services: frozenset[str] = frozenset()
+        # Services of the configuration, ``None`` before the first; only these have
+        # queues.
+        self._services: frozenset[str] | None = None
         self._futures: dict[Call, asyncio.Future[Dispatched]] = {}
         # Units that all targets serve in a share window; zero if unknown.
         self._capacity = 0.0
@@ -109,6 +110,12 @@
         """Apply the capacity and the engine limits of a new configuration."""
         window_s = self._settings.bounds.share_window_s
         self._capacity = table.limits.capacity_tokens_per_s * window_s
+        if self._services is None:
+            self.queues = {
+                name: queue
+                for name, queue in self.queues.items()
+                if name in table.services
+            }
         self._services = frozenset(table.services)
         for name, service in table.services.items():
             self._queue(name).set_engine(service.engine)
@@ -139,7 +146,11 @@
         A target of a service that is not configured waits until it is: any writer of
         the platform's store may name any service.
         """
-        if target.service not in self._services and target.service not in self.queues:
+        if (
+            self._services is not None
+            and target.service not in self._services
+            and target.service not in self.queues
+        ):
             return
         queue = self._queue(target.service)
         if queue.set_target(target):
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -540,6 +540,7 @@
             if not exchange.has_begun:
                 self._observe_first_part(call)
                 exchange.begin(head.status, _end_to_end_headers(head.headers))
+                call.is_begun = True
             if not dispatched.in_flight.is_prefill_ended:
                 self._router.dispatcher.note_first_event(dispatched)
             exchange.write(events)
--- a/packages/snipedeal-direct/src/snipedeal_direct/model.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/model.py
@@ -246,6 +246,7 @@
         its first event, is due.
     :param attempts: number of targets that may have run it.
     :param tried: IDs of targets that must not get it again.
+    :param is_begun: whether the caller has received the first event of a stream.
     :param is_suspect: whether a target crashed before it answered the call.
     :param is_probe: whether it tries whether its traits still crash targets.
     :param last_event_id: ID of the last stream event that the caller received; a
@@ -267,6 +268,7 @@
     prompt: Prompt | None = None
     attempts: int = 0
     tried: set[str] = attrs.Factory(set)
+    is_begun: bool = False
     is_suspect: bool = False
     is_probe: bool = False
     last_event_id: bytes = b""
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -57,11 +57,13 @@
     :param first_event_ms: expected time from start to first event at the target that
         has most of the prompt cached, estimated when the call was queued.
     :param latest_start_ms: latest start that still meets the latency target.
+    :param queued_ms: time at which it was queued.
     """
 
     call: Call
     first_event_ms: float
     latest_start_ms: float
+    queued_ms: float
 
 
 @attrs.frozen(eq=False)
@@ -210,6 +212,9 @@
         return self.shares.stage(call.customer) > self._deferral_stage
 
     def _tier(self, call: Call) -> Tier:
+        if call.is_begun:
+            # What the caller has received so far is lost if it is not resumed.
+            return Tier.WITHIN_CONFIGURED_SHARE
         return self.shares.tier(call.customer, call.units)
 
     def _is_over_share(self, call: Call) -> bool:
@@ -223,7 +228,7 @@
             )
         first_event_ms = self._min_first_event_ms(call)
         item = QueuedCall(
-            call, first_event_ms, call.latency_deadline_ms - first_event_ms
+            call, first_event_ms, call.latency_deadline_ms - first_event_ms, now_ms
         )
         refusal = self._refuse_on_arrival(item, now_ms)
         if refusal is None:
@@ -282,9 +287,11 @@
 
         The order is by tier, then calls that can still meet their latency target
         come first, then those of customers that used less of their shares, then those
-        with the earliest latest start.
+        with the earliest latest start. Streams to be resumed go before all others.
         """
         call = item.call
+        if call.is_begun:
+            return (self._tier(call), False, 0, item.queued_ms)
         stage = self.shares.stage(call.customer)
         return (
             self._tier(call),
@@ -510,21 +517,31 @@
         :param pause_ms: time until a target wants requests again, if none does now.
         """
         call = item.call
+        expected_ms = now_ms + wait_ms + item.first_event_ms
+        if expected_ms <= self._latest_first_event_ms(item):
+            return None
+        if pause_ms:
+            return Refusal(503, "paused", _retry_after_pause_s(call.id, pause_ms))
+        return Refusal(503, "too_late", self._retry_after(call, wait_ms))
+
+    def _latest_first_event_ms(self, item: QueuedCall) -> float:
+        """Return the time after which a call's next event is of no use to its caller.
+
+        The latency target of a stream that has begun was met or missed before; its
+        caller waits for the next event as long as for a gap in the stream.
+        """
+        call = item.call
+        last_ms = call.deadline_ms - defaults.FINAL_ANSWER_RESERVE_MS
+        if call.is_begun:
+            return min(last_ms, item.queued_ms + defaults.RESUMPTION_WAIT_MS)
         latency_factor = (
             defaults.LATENCY_LIMIT_FACTOR
             if self._tier(call) is Tier.WITHIN_CONFIGURED_SHARE
             else defaults.OVER_SHARE_LATENCY_LIMIT_FACTOR
         )
-        limit_ms = min(
-            call.arrived_ms + call.route.target_latency_ms * latency_factor,
-            call.deadline_ms - defaults.FINAL_ANSWER_RESERVE_MS,
+        return min(
+            last_ms, call.arrived_ms + call.route.target_latency_ms * latency_factor
         )
-        expected_ms = now_ms + wait_ms + item.first_event_ms
-        if expected_ms <= limit_ms:
-            return None
-        if pause_ms:
-            return Refusal(503, "paused", _retry_after_pause_s(call.id, pause_ms))
-        return Refusal(503, "too_late", self._retry_after(call, wait_ms))
 
     def _wait_ms(self, item: QueuedCall, now_ms: float) -> float:
         """Return the expected wait of a new call until its prefill starts, ms."""
