Fetch a new configuration from the reader that announces it

Cause: a configuration is too large for a datagram, so every router that is no reader read each version from the platform's store.

Tests: tests/test_following.py; with reads of the store forbidden all routers follow three versions, and without readers that hand it out they read it.

--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -100,6 +100,7 @@
         self._leaving_resends: dict[str, int] = {}
         self._leaving_services: dict[str, str] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._fetch: asyncio.Task[None] | None = None
 
     @property
     def live_count(self) -> int:
@@ -133,8 +134,9 @@
 
     async def close(self) -> None:
         """Stop the tasks and close the socket."""
-        for task in self._tasks:
-            task.cancel()
+        for task in (*self._tasks, self._fetch):
+            if task is not None:
+                task.cancel()
         if self._socket is not None:
             asyncio.get_running_loop().remove_reader(self._socket.fileno())
             self._socket.close()
@@ -227,7 +229,7 @@
 
     def _apply_report(self, sender: str, report: Report) -> None:
         if isinstance(report, RecordsReport):
-            self._router.apply_records(report)
+            self._router.apply_records(report, sender)
             return
         if isinstance(report, CrashReport):
             self._router.crashes.apply(report)
@@ -488,6 +490,35 @@
                 continue
             self._router.apply_document(document, f"peer {peer.name}")
 
+    def fetch_announced(self, sender: str, report: RecordsReport) -> None:
+        """Fetch the configuration that a reader has announced, unless it is known.
+
+        The store serves it to the readers only: one call of each router for each
+        version would be most of the fleet's calls.
+        """
+        feed = self._router.feed_tracker.feed(report.feed)
+        peer = self._peers.get(sender)
+        is_fetching = self._fetch is not None and not self._fetch.done()
+        if report.end <= feed.position or is_fetching:
+            return
+        if peer is None or not report.start <= feed.position:
+            self._router.feed_tracker.require_read(report.feed, report.end)
+            return
+        self._fetch = asyncio.create_task(
+            self._fetch_or_read(peer, report), name="peer-config-announced"
+        )
+
+    async def _fetch_or_read(self, peer: Peer, report: RecordsReport) -> None:
+        try:
+            async with asyncio.timeout(defaults.PEER_CONFIG_TIMEOUT_MS / 1000):
+                document = await self._fetch_config(peer)
+        except (SnipedealError, TimeoutError) as error:
+            warning("peer.config_failed", peer=peer.name, error=str(error))
+            self._router.feed_tracker.require_read(report.feed, report.end)
+            return
+        self._router.apply_document(document, f"peer {peer.name}")
+        self._router.feed_tracker.feed(report.feed).advance(report.end)
+
     async def _fetch_config(self, peer: Peer) -> bytes:
         connection = await self._router.pool.connect(peer.address)
         try:
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -192,7 +192,10 @@
     # -- source events ---------------------------------------------------------
 
     def apply_document(self, document: bytes, origin: str) -> None:
-        """Apply a configuration document; if it is invalid, keep the one in force."""
+        """Apply a configuration document; if it is invalid, keep the one in force.
+
+        :param origin: where it comes from, for the log.
+        """
         try:
             table = self._source.read_table(document)
         except RecordError as error:
@@ -241,13 +244,16 @@
     def _on_peer(self, name: str, address: str | None) -> None:
         self.peers.apply_peer(name, address)
 
-    def apply_records(self, report: RecordsReport) -> None:
+    def apply_records(self, report: RecordsReport, sender: str) -> None:
         """Apply records that a peer read from the store.
 
-        If they were too large to be sent, read them from the store instead.
+        If they were too large to be sent, fetch the configuration from the peer, or
+        read them from the store.
         """
         if report.records:
             self._source.apply_records(report)
+        elif report.feed == self._source.config_feed:
+            self.peers.fetch_announced(sender, report)
         else:
             self.feed_tracker.require_read(report.feed, report.end)
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/source.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/source.py
@@ -40,6 +40,8 @@
     """A platform adapter that supplies configuration, targets and peers."""
 
     headers: HeaderNames
+    #: Name of the change feed that carries the configuration.
+    config_feed: str
 
     def start(self) -> None:
         """Start to follow changes at the platform."""
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -120,6 +120,44 @@
     asyncio.run(_run_with_fleet(scenario))
 
 
+def test_followers_fetch_a_large_configuration_from_readers(monkeypatch):
+    # Keep followers from reading the store themselves.
+    monkeypatch.setattr(defaults, "FEED_GAP_MS", 1e9)
+    monkeypatch.setattr(defaults, "PEER_CONFIG_INTERVAL_MS", 1e9)
+    required = []
+    monkeypatch.setattr(FeedTracker, "require_read", lambda *args: required.append(1))
+
+    async def scenario(edge):
+        for version in (2, 3, 4):
+            edge.configure(version)
+            await edge.wait_until(
+                lambda version=version: all(
+                    r.routing.version == version for r in edge.routers
+                )
+            )
+        positions = {r.feed_tracker.feed("config").position for r in edge.routers}
+        assert len(positions) == 1
+
+    asyncio.run(_run_with_fleet(scenario))
+    assert not required
+
+
+def test_follower_reads_a_configuration_that_no_reader_hands_out(monkeypatch):
+    monkeypatch.setattr(defaults, "FEED_GAP_MS", 1e9)
+    monkeypatch.setattr(defaults, "PEER_CONFIG_INTERVAL_MS", 1e9)
+
+    async def scenario(edge):
+        for router in edge.routers:
+            if router.feed_tracker.is_reader:
+                router._internal_servers[2].on_request = lambda exchange: (
+                    exchange.respond(404, [], b"")
+                )
+        edge.configure(2)
+        await edge.wait_until(lambda: all(r.routing.version == 2 for r in edge.routers))
+
+    asyncio.run(_run_with_fleet(scenario))
+
+
 def test_router_that_cannot_reach_the_store_keeps_reading():
     tracker = make_follower(FakeClock())
     tracker.is_store_reachable = False
