--- a/packages/snipedeal-direct/src/snipedeal_direct/__main__.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/__main__.py
@@ -2,8 +2,6 @@
 
 import sys
 
-import defopt
-
 from snipedeal_direct.serve import run
 
 
@@ -18,5 +16,15 @@
     return run(settings)
 
 
+def main() -> int:
+    """Parse the command line and run the router; return the exit status."""
+    if len(sys.argv) == 2 and not sys.argv[1].startswith("-"):
+        return direct(sys.argv[1])
+    # Only help and errors need it: it takes 9 MB, which the router would keep.
+    import defopt
+
+    return defopt.run(direct)
+
+
 if __name__ == "__main__":
-    sys.exit(defopt.run(direct))
+    sys.exit(main())
--- a/tests/test_direct_settings.py
+++ b/tests/test_direct_settings.py
@@ -4,6 +4,8 @@
 import json
 import pathlib
 import re
+import subprocess
+import sys
 
 import pytest
 
@@ -105,3 +107,23 @@
             await edge.close()
 
     asyncio.run(check())
+
+
+def test_router_does_not_keep_the_command_line_parser_in_memory():
+    code = (
+        "import sys, snipedeal_direct.__main__ as program\n"
+        "sys.argv = ['direct', '/nowhere.json']\n"
+        "status = program.main()\n"
+        "print(status, 'defopt' in sys.modules)\n"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert done.stdout == "2 False\n"
+    assert "/nowhere.json" in done.stderr
+
+
+@pytest.mark.parametrize("arguments, status", [(["--help"], 0), ([], 2), (["-x"], 2)])
+def test_command_line_has_help_and_rejects_wrong_use(arguments, status):
+    command = [sys.executable, "-m", "snipedeal_direct", *arguments]
+    done = subprocess.run(command, capture_output=True, text=True)
+    assert done.returncode == status
+    assert "settings" in done.stdout + done.stderr
