Share the estimate of a queue among arrivals of 10 ms

Cause: each arriving call compared itself with every queued call, every target and every peer's queue. At a router with 100 queued calls, 60 targets and 67 peers that took 0.40 ms a call, a fifth of a core at the arrivals of a hot customer on the large site.

Change: targets, rates, peers' queues and the sorted queue are summed up once for the arrivals of 10 ms; what is queued since is added. A target that leaves, pauses or changes its health ends it at once.

Tests: suites of queueing, fairness, limits, overload, leaving: 188 passed.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -110,6 +110,9 @@
 #: Calls considered in one dispatch, from the head of the queue; bounds its run time
 #: to a few ms with dozens of targets.
 DISPATCH_LOOK_AHEAD = 24
+#: Time for which arrivals share one estimate of the queue and the targets, ms; less
+#: than the age of what peers report.
+OUTLOOK_MS = 10.0
 #: Calls that may be queued for one service at a router, about 15 KB of memory each.
 QUEUE_LIMIT = 400
 #: Pending prefill allowed at one engine, ms; covers the age of the load reports
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -254,6 +254,7 @@
         for load in queue.targets.values() if queue else ():
             if load.target.instance == instance:
                 load.has_said_leaving = True
+                self._queue(service).note_change()
         info(
             "target.leaving",
             target=instance,
@@ -270,6 +271,7 @@
         load.pause = self.findings.pause(load.target.instance)
         if not load.pause.extend(now_ms + wait_ms):
             return
+        self._queue(load.target.service).note_change()
         info(
             "target.paused",
             target=load.target.id,
@@ -448,6 +450,7 @@
         now_ms = self._clock.now_ms()
         after = health.capacity_fraction(now_ms)
         if after != before:
+            self._queue(dispatched.load.target.service).note_change()
             info(
                 "target.condition",
                 target=dispatched.load.target.id,
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -7,6 +7,7 @@
 
 import bisect
 import functools
+import itertools
 import math
 import typing as t
 
@@ -75,6 +76,32 @@
     in_flight: InFlightCall
 
 
+@attrs.frozen(eq=False)
+class _Outlook:
+    """What a new call finds, as of one moment.
+
+    With dozens of targets and peers it takes longer to compute than all else that an
+    arrival needs, so that arrivals within ``OUTLOOK_MS`` share one.
+
+    :param usable: targets that may receive calls.
+    :param rate: prefill rate of these together, tokens per ms.
+    :param prefill_ms: shortest time until one of these has no pending prefill.
+    :param peer_tokens: prompt tokens queued at all peers, by slack class.
+    :param keys: sort keys of this router's queued calls, in order.
+    :param tokens_before: prompt tokens of the calls before each position in ``keys``.
+    :param count: number of these calls; those behind them were queued since.
+    """
+
+    made_ms: float
+    usable: list[TargetLoad]
+    rate: float
+    prefill_ms: float
+    peer_tokens: list[float]
+    keys: list[tuple[Tier, bool, int, float]]
+    tokens_before: list[float]
+    count: int
+
+
 @attrs.define
 class ServiceQueue:
     """The queued calls of one service, and its targets.
@@ -99,17 +126,20 @@
     _last_refused_ms: dict[str, float] = attrs.Factory(dict)
     # Stage above which calls are deferred; computed once in a dispatch.
     _deferral_stage: float | None = None
+    _outlook: _Outlook | None = None
 
     # -- targets ---------------------------------------------------------------
 
     def set_engine(self, engine: EngineLimits | None) -> None:
         """Set the limits of the service's engines."""
         self.engine = engine
+        self.note_change()
         for load in self.targets.values():
             load.engine = engine
 
     def set_target(self, target: Target) -> bool:
         """Add or update a target; return whether it is a new instance."""
+        self.note_change()
         known = self.targets.get(target.id)
         if known is not None and _is_same_instance(known.target, target):
             known.target = target
@@ -123,8 +153,13 @@
 
     def remove_target(self, target_id: str) -> None:
         """Remove a target that is no longer registered."""
+        self.note_change()
         self.targets.pop(target_id, None)
 
+    def note_change(self) -> None:
+        """Record that a target or the queue has changed at once."""
+        self._outlook = None
+
     def usable(self, now_ms: float) -> list[TargetLoad]:
         """Return the targets that may receive calls."""
         return [load for load in self.targets.values() if load.is_usable(now_ms)]
@@ -237,7 +272,10 @@
 
     def remove(self, call: Call) -> None:
         """Remove a call, if it is still queued."""
+        before = len(self.waiting)
         self.waiting = [item for item in self.waiting if item.call is not call]
+        if len(self.waiting) != before:
+            self.note_change()
 
     def dispatch(self, now_ms: float) -> list[Dispatched]:
         """Assign queued calls to targets; remove them from the queue."""
@@ -262,6 +300,8 @@
             busy[load] = load.busy_ms
             self.shares.note_served(item.call.customer, item.call.units, now_ms)
         self.waiting = kept
+        if chosen:
+            self.note_change()
         return chosen
 
     def expire(self, now_ms: float) -> list[tuple[Call, Refusal]]:
@@ -276,6 +316,8 @@
             else:
                 refused.append((item.call, refusal))
         self.waiting = kept
+        if refused:
+            self.note_change()
         return refused
 
     # -- order -----------------------------------------------------------------
@@ -303,10 +345,13 @@
     def _min_first_event_ms(self, call: Call) -> float:
         if call.prompt is None:
             return 0.0
-        loads = self.targets.values()
-        uncached = min(
-            (load.uncached_tokens(call) for load in loads), default=call.prompt.tokens
-        )
+        least = float(call.prompt.parts[-1].tokens) if call.prompt.parts else 0.0
+        uncached = float(call.prompt.tokens)
+        for load in self.targets.values():
+            uncached = min(uncached, load.uncached_tokens(call))
+            if uncached <= least:
+                # All other parts are cached there; few targets know the own one.
+                break
         return uncached / self._mean_prefill_rate() + defaults.FIRST_EVENT_MS
 
     # -- target selection --------------------------------------------------------
@@ -471,13 +516,14 @@
 
     def _refuse_on_arrival(self, item: QueuedCall, now_ms: float) -> Refusal | None:
         call = item.call
-        refusal = self._refuse_without_target(call)
+        outlook = self._find_outlook(now_ms)
+        refusal = None if outlook.usable else self._refuse_without_target(call)
         if refusal is not None:
             return refusal
         if len(self.waiting) >= defaults.QUEUE_LIMIT:
             return Refusal(503, "queue_full", self._retry_after(call, 0.0))
-        pause_ms = self._pause_wait_ms(now_ms)
-        wait_ms = max(pause_ms, self._wait_ms(item, now_ms))
+        pause_ms = 0.0 if outlook.usable else self._pause_wait_ms(now_ms)
+        wait_ms = max(pause_ms, self._wait_ms(item, outlook, now_ms))
         return self._refuse_if_too_late(item, wait_ms, pause_ms, now_ms)
 
     def _refuse_queued(
@@ -543,28 +589,60 @@
             last_ms, call.arrived_ms + call.route.target_latency_ms * latency_factor
         )
 
-    def _wait_ms(self, item: QueuedCall, now_ms: float) -> float:
-        """Return the expected wait of a new call until its prefill starts, ms."""
+    def _find_outlook(self, now_ms: float) -> _Outlook:
+        """Return the outlook, a new one if the last is older than ``OUTLOOK_MS``."""
+        outlook = self._outlook
+        if outlook is None or not 0 <= now_ms - outlook.made_ms < defaults.OUTLOOK_MS:
+            outlook = self._outlook = self._make_outlook(now_ms)
+        return outlook
+
+    def _make_outlook(self, now_ms: float) -> _Outlook:
         usable = self.usable(now_ms)
-        limit_wait_ms = self._limit_wait_ms(usable, now_ms)
-        if item.call.prompt is None or not usable:
+        queued = sorted(
+            (self._sort_key(item, now_ms), _prompt_tokens(item.call))
+            for item in self.waiting
+        )
+        peer_tokens = [
+            float(sum(tokens))
+            for tokens in itertools.zip_longest(
+                *self.peers_queued_tokens.values(), fillvalue=0
+            )
+        ]
+        return _Outlook(
+            made_ms=now_ms,
+            usable=usable,
+            rate=sum(load.usable_prefill_rate for load in usable),
+            prefill_ms=min(
+                (load.prefill_tokens / load.prefill_rate for load in usable),
+                default=0.0,
+            ),
+            peer_tokens=peer_tokens,
+            keys=[key for key, _ in queued],
+            tokens_before=[
+                0.0,
+                *itertools.accumulate(tokens for _, tokens in queued),
+            ],
+            count=len(queued),
+        )
+
+    def _wait_ms(self, item: QueuedCall, outlook: _Outlook, now_ms: float) -> float:
+        """Return the expected wait of a new call until its prefill starts, ms."""
+        limit_wait_ms = self._limit_wait_ms(outlook.usable, now_ms)
+        if item.call.prompt is None or not outlook.usable:
             return limit_wait_ms
         sort_key = self._sort_key(item, now_ms)
-        rate = sum(load.usable_prefill_rate for load in usable)
-        ahead = sum(
+        ahead = outlook.tokens_before[bisect.bisect_left(outlook.keys, sort_key)]
+        ahead += sum(
             _prompt_tokens(other.call)
-            for other in self.waiting
+            for other in self.waiting[outlook.count :]
             if self._sort_key(other, now_ms) < sort_key
         )
         slack_class = self._slack_class(item, now_ms)
-        for queued_tokens in self.peers_queued_tokens.values():
-            # On average, half of a call's own class is ahead of it.
-            # Routers of earlier releases report fewer classes.
-            own_class = queued_tokens[slack_class : slack_class + 1]
-            ahead += sum(queued_tokens[:slack_class]) + sum(own_class) / 2
-        wait_ms = ahead / max(rate, 1e-6) + min(
-            load.prefill_tokens / load.prefill_rate for load in usable
-        )
+        # On average, half of a call's own class at the peers is ahead of it. Routers of
+        # earlier releases report fewer classes.
+        ahead += sum(outlook.peer_tokens[:slack_class])
+        ahead += sum(outlook.peer_tokens[slack_class : slack_class + 1]) / 2
+        wait_ms = ahead / max(outlook.rate, 1e-6) + outlook.prefill_ms
         return max(wait_ms, limit_wait_ms)
 
     def _limit_wait_ms(self, usable: t.Sequence[TargetLoad], now_ms: float) -> float:
