--- a/tests/test_paused.py
+++ b/tests/test_paused.py
@@ -43,7 +43,7 @@
 async def test_deadline_that_a_target_gets_counts_the_time_in_a_pause(edge):
     faults = ReplicaFaults(mode="cut", count=1)
     for replica in edge.replicas.values():
-        replica.spec.read_rate = 2.0
+        replica.spec.event_ms = 150.0
         replica.faults = faults
     connection = edge.caller_connection()
     await connection.send("POST", "/draft/a", "r1", PROMPT)
