Eject no more than half of many targets because connects time out

Cause: a router whose own link is full sees connects to any target time out.

Change: beyond half of a service's targets (of nine or more) a timeout ejects none; refused connects do.

Its link stays full: whole bodies arrive before they can be refused.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -70,6 +70,11 @@
 #: doubles with each further connect failure in a row.
 UNREACHABLE_EJECTION_MS = 400
 UNREACHABLE_EJECTION_LIMIT_MS = 3_000
+#: Fraction of a service's targets up to which they are ejected because connects time
+#: out; beyond it the router's own link is at fault. Not for services with fewer other
+#: targets, where a second one may well be lost.
+TIMEOUT_EJECTION_FRACTION = 0.5
+TIMEOUT_EJECTION_TARGETS = 8
 #: Ejection time of a target whose address another one has taken over, ms; by then
 #: its registration has been removed.
 REPLACED_EJECTION_MS = 5_000
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -337,13 +337,33 @@
             self._clock.now_ms(),
         )
 
-    def note_unreachable(self, dispatched: Dispatched) -> None:
-        """Record a failed connect to a target."""
+    def note_unreachable(self, dispatched: Dispatched, is_timeout: bool) -> None:
+        """Record a failed connect to a target.
+
+        If connects to many targets time out, the router's own link is more likely at
+        fault than they are, and no more of them are ejected.
+
+        :param is_timeout: whether the target did not answer, rather than refuse.
+        """
+        if is_timeout and self._has_ejected_many(dispatched.load):
+            return
         health = dispatched.load.health
         before = health.capacity_fraction(self._clock.now_ms())
         health.note_unreachable(self._clock.now_ms())
         self._log_health_change(dispatched, before, "unreachable")
 
+    def _has_ejected_many(self, load: TargetLoad) -> bool:
+        now_ms = self._clock.now_ms()
+        others = [
+            other
+            for other in self._queue(load.target.service).targets.values()
+            if other is not load and not other.is_leaving
+        ]
+        if len(others) < defaults.TIMEOUT_EJECTION_TARGETS:
+            return False
+        ejected = sum(other.health.is_ejected(now_ms) for other in others)
+        return ejected + 1 > defaults.TIMEOUT_EJECTION_FRACTION * (len(others) + 1)
+
     def note_replaced(self, dispatched: Dispatched) -> None:
         """Record that another target has taken over this one's address."""
         health = dispatched.load.health
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -267,7 +267,8 @@
                 reason = f"status_{failure.head.status}"
             except ConnectError as error:
                 self._router.dispatcher.note_not_run(dispatched)
-                self._router.dispatcher.note_unreachable(dispatched)
+                is_timeout = isinstance(error.__cause__, TimeoutError)
+                self._router.dispatcher.note_unreachable(dispatched, is_timeout)
                 self._log_attempt(call, dispatched, "unreachable", str(error))
                 call.tried.add(dispatched.load.target.id)
                 declined += 1
