Let one reader poll the store at the full rate, the others as backups

Cause: three readers each read every change at once.

Change: the second and third reader poll for 2 s and pause 0.4 s after a change; the first forwards it meanwhile, and they take its place when it is lost.

Tests: tests/test_following.py.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -250,6 +250,10 @@
 #: it bounds how late a silent connection is detected, which must stay below the time
 #: in which changes must take effect.
 FEED_WAIT_MS = 1_000
+#: The same for readers other than the first, and their pause after a read that returned
+#: records, ms: they matter once the first is lost.
+FEED_BACKUP_WAIT_MS = 2_000
+FEED_BACKUP_PAUSE_MS = 400.0
 #: A router reads the store itself if a change that a peer knows of has not reached it
 #: within this time, ms; several report intervals.
 FEED_GAP_MS = 120
--- a/packages/snipedeal-direct/src/snipedeal_direct/following.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/following.py
@@ -21,6 +21,14 @@
 def is_reader(name: str, candidates: t.Iterable[str]) -> bool:
     """Return whether a router is one of the ``STORE_READERS`` elected readers.
 
+    :param candidates: as for :func:`reader_rank`.
+    """
+    return reader_rank(name, candidates) < defaults.STORE_READERS
+
+
+def reader_rank(name: str, candidates: t.Iterable[str]) -> int:
+    """Return how many candidates are elected before a router.
+
     Routers are ranked by a hash of their names, so that all of them agree on the
     readers without coordination.
 
@@ -28,8 +36,7 @@
         store.
     """
     own = stable_hash("reader", name)
-    rank = sum(1 for peer in candidates if stable_hash("reader", peer) < own)
-    return rank < defaults.STORE_READERS
+    return sum(1 for peer in candidates if stable_hash("reader", peer) < own)
 
 
 @attrs.define
@@ -104,6 +111,7 @@
     def __init__(self, name: str, now_ms: t.Callable[[], float]) -> None:
         self.is_store_reachable = True
         self.is_reader = True
+        self.is_backup = False
         self.feeds: dict[str, Feed] = {}
         self._name = name
         self._now_ms = now_ms
@@ -113,6 +121,14 @@
         """Position in each feed, by name."""
         return {name: feed.position for name, feed in self.feeds.items()}
 
+    @property
+    def read_pause_ms(self) -> float:
+        """Pause after a read that returned records, ms.
+
+        The first reader forwards them meanwhile; the others are there for its loss.
+        """
+        return defaults.FEED_BACKUP_PAUSE_MS if self.is_backup else 0.0
+
     @property
     def retry_pause_ms(self) -> float:
         """Pause after a call to the store that failed, ms."""
@@ -142,7 +158,9 @@
         ):
             feed.wakeup.clear()
             await feed.wakeup.wait()
-        return defaults.FEED_WAIT_MS if self.is_reader else 0
+        if not self.is_reader:
+            return 0
+        return defaults.FEED_BACKUP_WAIT_MS if self.is_backup else defaults.FEED_WAIT_MS
 
     def note_peer_positions(self, positions: t.Mapping[str, int]) -> None:
         """Record the positions that a peer announced, by feed."""
@@ -169,7 +187,9 @@
             store.
         """
         was_reader = self.is_reader
-        self.is_reader = is_reader(self._name, candidates)
+        rank = reader_rank(self._name, candidates)
+        self.is_reader = rank < defaults.STORE_READERS
+        self.is_backup = 0 < rank < defaults.STORE_READERS
         if self.is_reader != was_reader:
             info("store.reading", reads=self.is_reader, reach=self.is_store_reachable)
         for feed in self.feeds.values():
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -81,6 +81,23 @@
     assert asyncio.run(tracker.wait_until_due("targets")) == defaults.FEED_WAIT_MS
 
 
+def test_only_the_first_reader_polls_at_the_full_rate():
+    names = [f"router-{n}" for n in range(8)]
+    trackers = [FeedTracker(name, FakeClock()) for name in names]
+    for tracker in trackers:
+        tracker.update_role(n for n in names if n != tracker._name)
+    waits = [
+        asyncio.run(tracker.wait_until_due("targets"))
+        for tracker in trackers
+        if tracker.is_reader
+    ]
+    assert sorted(waits) == [
+        defaults.FEED_WAIT_MS,
+        *[defaults.FEED_BACKUP_WAIT_MS] * (defaults.STORE_READERS - 1),
+    ]
+    assert sum(t.read_pause_ms == 0 for t in trackers if t.is_reader) == 1
+
+
 def test_reset_feed_does_not_continue_at_its_old_position():
     feed = make_follower(FakeClock()).feed("targets")
     feed.reset()
