Read a target's leaving and pause also from answers that are not believed

Found by the soak, seed 25001: a replica declined a request with a pause, on a connection that was in use before and without a request ID. The refusal is not believed, as it may be an earlier one, and so the pause was not read: 26 requests of that router reached the replica within the 1.9 s.

Change: both are read before the request ID is checked, since a connection leads to one process. The rate limit is read after it, as before.

Tests: two cases in tests/test_leaving.py fail before; seed 25001 is a regression case and passes.

--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -379,8 +379,11 @@
                 self._render_request(call, target.id), call.method == "HEAD"
             )
             head = await connection.head()
-            self._check_request_id(call, connection, head)
             self._note_target_state(dispatched, head)
+            self._check_request_id(call, connection, head)
+            if head.status != 421:
+                limit = parse_rate_limit(head.get(self._router.headers.rate_limit))
+                self._router.dispatcher.note_rate_limit(dispatched, limit)
             if self._is_refusal(head):
                 # The request has not run: this counts neither as an attempt nor
                 # as a failure of the target.
@@ -441,15 +444,17 @@
             )
 
     def _note_target_state(self, dispatched: Dispatched, head: ResponseHead) -> None:
-        """Record what the head of a response says of its target's own state."""
+        """Record whether a target says that it leaves, or wants a pause.
+
+        That holds whichever request the response belongs to: a connection leads to one
+        process.
+        """
         if head.status == 421:
             # Another target answers at the address; it speaks of itself.
             return
         dispatcher = self._router.dispatcher
-        names = self._router.headers
-        limit = parse_rate_limit(head.get(names.rate_limit))
-        dispatcher.note_rate_limit(dispatched, limit)
-        if any(value.strip() == b"1" for value in head.get_all(names.leaving)):
+        leaving = head.get_all(self._router.headers.leaving)
+        if any(value.strip() == b"1" for value in leaving):
             dispatcher.note_leaving(dispatched)
         if head.status == 503:
             wait_s = parse_retry_after(head.get_all(b"retry-after"))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -282,3 +282,31 @@
     assert 0 < steps[0] < 0.2
     assert steps[-1] == 1.0
     assert defaults.PAUSE_RAMP_MS <= 5_000
+
+
+@pytest.mark.parametrize("word", ["leaving", "pause"])
+def test_word_of_a_target_counts_in_an_answer_that_is_not_believed(word, monkeypatch):
+    monkeypatch.setattr(defaults, "AT_MOST_ONCE_REUSE_S", 1e9)
+
+    @on_edge(DESK)
+    async def play(edge):
+        replica = edge.replicas["desk-0"]
+        connection = edge.caller_connection()
+        while not all(other.runs for other in edge.replicas.values()):
+            number = len(edge.runs())
+            await connection.request("POST", "/change/a", f"warm-{number}")
+        before = replica.arrivals
+        # The refusal has no request ID, and its connection was in use before.
+        decline(edge, "desk-0", retry_after=("60",) if word == "pause" else ())
+        if word == "leaving":
+            mark_leaving(edge, "desk-0")
+        await request_until(
+            edge, lambda: replica.arrivals > before, "POST", "/change/a"
+        )
+        now_ms = edge.routers[0].clock.now_ms()
+        assert not load_of(edge, "desk-0").is_usable(now_ms)
+        for number in range(12):
+            await connection.request("POST", "/change/a", f"r{number}")
+        assert replica.arrivals == before + 1
+
+    play()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,9 +26,11 @@
     133: "the same, for a change",
     111: "a stopping router waited for the silent store beyond its grace",
     112: "the same",
+    25001: "a pause was not read from a refusal without a request ID",
 }
-#: Those of them that were found in runs with load faults.
-LOAD_FAULT_SEEDS = set()
+#: Those of them that were found in runs with load faults, and with state faults.
+LOAD_FAULT_SEEDS = {25001}
+STATE_FAULT_SEEDS = {25001}
 
 
 @pytest.fixture
@@ -204,7 +206,7 @@
         seed=seed,
         seconds=10.0,
         has_load_faults=seed in LOAD_FAULT_SEEDS,
-        has_state_faults=False,
+        has_state_faults=seed in STATE_FAULT_SEEDS,
     )
     run = asyncio.run(run_soak(plan, tmp_path))
     assert run.violations == []
