Take a target for another instance only after its health check failed

A failed connect of one attempt closes the gate; the next load report then ended the finding that the target leaves, or its pause, though it was the same instance. The test fails before.

--- a/packages/snipedeal-agent/src/snipedeal_agent/health.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/health.py
@@ -34,6 +34,8 @@
     def __init__(self, agent: "Agent") -> None:
         self._agent = agent
         self._consecutive_failures = 0
+        # Failed polls only, unlike the above, which mark_down raises.
+        self._failed_polls = 0
         self.load: dict[str, t.Any] = {}
 
     def start(self) -> None:
@@ -48,13 +50,15 @@
         load = await self._read_load()
         if load is None:
             self._consecutive_failures += 1
+            self._failed_polls += 1
         else:
+            if self._failed_polls >= defaults.TARGET_FAILURES_UNTIL_DOWN:
+                self._agent.note_target_replaced()
             self._consecutive_failures = 0
+            self._failed_polls = 0
             self.load = load
             self._update_slots(load)
         is_up = self._consecutive_failures < defaults.TARGET_FAILURES_UNTIL_DOWN
-        if is_up and not self._agent.is_target_up:
-            self._agent.note_target_replaced()
         self._agent.is_target_up = is_up and bool(self.load)
         return load is not None
 
--- a/tests/test_agent_findings.py
+++ b/tests/test_agent_findings.py
@@ -133,6 +133,20 @@
     play()
 
 
+def test_target_that_answers_its_health_check_throughout_is_no_other_instance():
+    @on_agent("plain")
+    async def play(agent, target):
+        target.headers = {"Server-Leaving": "1"}
+        await dispatch(agent, "a1", "plain")
+        health = agent.plugins["health"]
+        # An attempt that can't connect closes the gate until the next health check.
+        health.mark_down()
+        assert await health.probe()
+        assert agent.state == "leaving"
+
+    play()
+
+
 @pytest.mark.parametrize("dialect", ["plain", "openai"])
 def test_agent_sends_nothing_for_as_long_as_its_target_asked(dialect):
     @on_agent(dialect)
