--- a/review/harness.py
+++ b/review/harness.py
@@ -178,12 +178,22 @@
         for spec in specs:
             await self.add_replica(Replica(spec))
         for number in range(routers):
-            router = Router(f"edge-{number}", self.store.address, self._directory)
-            self.routers.append(router)
-            await router.start()
+            await self.add_router(f"edge-{number}", self.store.address)
+        await self.wait_until_ready()
+
+    async def add_router(self, name: str, store: str) -> None:
+        """Start a router.
+
+        :param store: address of the store.
+        """
+        router = Router(name, store, self._directory)
+        self.routers.append(router)
+        await router.start()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until all routers are ready, and know the replicas and each other."""
         for router in self.routers:
             await self.wait_ready(router)
-        # Routers read the list of replicas and hear of each other.
         await asyncio.sleep(2)
 
     def configure(self, version: int, **changes: t.Any) -> None:
