--- a/review/crashing.py
+++ b/review/crashing.py
@@ -27,7 +27,6 @@
 CRASHES = 5
 ROUTERS = 2
 REPLICAS = 5
-SOUND_CALLERS = 6
 
 
 @attrs.frozen
@@ -41,6 +40,7 @@
     :param crashes_replicas: whether the part crashes replicas.
     :param error_share: share of the requests that a replica answers with 500, in
         periods of ``ERRORS_S`` with a pause of ``ERRORS_PAUSE_S`` after each.
+    :param sound_callers: callers with sound prompts.
     """
 
     parts: int
@@ -49,6 +49,7 @@
     duration_s: float
     crashes_replicas: bool = True
     error_share: float = 0.0
+    sound_callers: int = 6
 
 
 @attrs.define
@@ -203,7 +204,7 @@
         for number in range(REPLICAS):
             await self._deployment.add_replica(self._new_replica(f"i-{number}"))
         await asyncio.sleep(1)
-        for number in range(SOUND_CALLERS):
+        for number in range(plan.sound_callers):
             self._tasks.add(asyncio.create_task(self._call_soundly(number)))
         for number in range(int(plan.duration_s / plan.interval_s)):
             self._tasks.add(asyncio.create_task(self._call_badly(number)))
--- a/review/harness.py
+++ b/review/harness.py
@@ -168,6 +168,15 @@
         self.replicas: list[Replica] = []
         self.routers: list[Router] = []
         self._directory = directory
+        self._others: list[Deployment] = []
+
+    def another(self) -> "Deployment":
+        """Return another deployment beside this one, which closes it."""
+        directory = self._directory / f"deployment-{len(self._others) + 1}"
+        directory.mkdir()
+        other = Deployment(self.record, directory)
+        self._others.append(other)
+        return other
 
     async def start(
         self, specs: t.Sequence[ReplicaSpec], routers: int, **config: t.Any
@@ -224,6 +233,8 @@
 
     async def close(self) -> None:
         """End all processes and stand-ins."""
+        for other in self._others:
+            await other.close()
         for router in self.routers:
             router.signal(signal.SIGKILL)
             if router.process is not None:
