--- a/review/crashing.py
+++ b/review/crashing.py
@@ -17,16 +17,17 @@
 
 BAD_PART = "deadbeef"
 PART_TOKENS = 40
-#: Time after which a crashed replica is back, s.
-BACK_S = 2.0
+#: Time after which a crashed replica is back and its old entry is gone, s: three status
+#: report intervals.
+BACK_S = 3.6
 #: Length of a period in which replicas fail requests, and of the pause after it, s.
-ERRORS_S = 6.5
-ERRORS_PAUSE_S = 0.5
+ERRORS_S = 4.0
+ERRORS_PAUSE_S = 1.0
 #: Requests with the part that may reach replicas after the fifth crash and stableMs.
 ALLOWED = 3
 CRASHES = 5
 ROUTERS = 2
-REPLICAS = 5
+REPLICAS = 6
 
 
 @attrs.frozen
