Start what is shipped: read bodies with aiohttp in a module of its own

Callers reached no router on any site: each process ended at its imports with "No module named 'aiohttp'".

Cause: moved BufferBudget, which direct routers use, into snipedeal.buffers beside read_body, which needs aiohttp. The direct router's build ships no aiohttp. The environment of the tests has all packages of requirements.lock, and nothing started what deploy/system.toml builds.

--- a/packages/snipedeal-router/src/snipedeal_router/fleet.py
+++ b/packages/snipedeal-router/src/snipedeal_router/fleet.py
@@ -8,8 +8,8 @@
 import attrs
 
 from snipedeal import defaults
+from snipedeal.bodies import read_body
 from snipedeal.buffers import BufferBudget
-from snipedeal.buffers import read_body
 from snipedeal.membership import Vm
 from snipedeal.platform import VmListClient
 
--- a/packages/snipedeal/src/snipedeal/platform.py
+++ b/packages/snipedeal/src/snipedeal/platform.py
@@ -16,8 +16,8 @@
 from absl import logging
 
 from snipedeal import defaults
+from snipedeal.bodies import read_body
 from snipedeal.buffers import BufferBudget
-from snipedeal.buffers import read_body
 from snipedeal.decoding import DECODING_ERRORS
 from snipedeal.decoding import decode
 from snipedeal.decoding import is_name
