--- a/tests/test_shipping.py
+++ b/tests/test_shipping.py
@@ -1,6 +1,7 @@
 """What deploy/system.toml and the wheels ship runs with the packages they name."""
 
 import asyncio
+import importlib.metadata
 import json
 import os
 import pathlib
@@ -10,6 +11,9 @@
 import tomllib
 
 import pytest
+from packaging.requirements import Requirement
+from packaging.utils import canonicalize_name
+from test_dependencies import declared
 
 from snipedeal_standins.edge import CallerConnection
 from snipedeal_standins.edge import configuration
@@ -172,3 +176,29 @@
         env=environment(PYTHONPATH="target/deps"),
         check=True,
     )
+
+
+def test_shipped_packages_are_those_that_are_required(clone):
+    shipped = {
+        canonicalize_name(dist.name): dist
+        for dist in importlib.metadata.distributions(path=[str(clone / "target/deps")])
+    }
+    # The project's own packages are copied, so they bring no metadata.
+    pending = [
+        requirement
+        for member in ("packages/snipedeal", "packages/snipedeal-direct", "platform")
+        for requirement in declared(member, ())
+        if not requirement.name.startswith("snipedeal")
+    ]
+    required = set()
+    while pending:
+        requirement = pending.pop()
+        name = canonicalize_name(requirement.name)
+        if requirement.marker and not requirement.marker.evaluate({"extra": ""}):
+            continue
+        assert name in shipped, f"{name} is required and not shipped"
+        assert shipped[name].version in requirement.specifier
+        if name not in required:
+            required.add(name)
+            pending += map(Requirement, shipped[name].requires or ())
+    assert required == shipped.keys()
