Log the store's era with reads, and older configurations that are ignored

Logs could not tell a compaction from a return of the store from an old copy, nor an entry that was ignored from one that was never read: both were store.compacted or nothing.

Nothing else is decided by the era yet.

--- a/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
@@ -60,6 +60,12 @@
             ["origin"],
             registry=self.registry,
         )
+        self.store_era = Gauge(
+            "snipedeal_direct_store_era",
+            "Era of the platform's store in which a change feed was read last.",
+            ["feed"],
+            registry=self.registry,
+        )
         self.task_failures = Counter(
             "snipedeal_direct_task_failures",
             "Background tasks that failed and were started again.",
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -216,6 +216,13 @@
     def _apply_table(self, table: RouteTable, document: bytes, origin: str) -> None:
         before = self.routing.version
         if not self.routing.apply(table):
+            if table.version < before:
+                info(
+                    "config.older_ignored",
+                    version=table.version,
+                    in_force=before,
+                    origin=origin,
+                )
             return
         self._document = document
         self.dispatcher.apply_table(table)
--- a/tests/test_direct_parts.py
+++ b/tests/test_direct_parts.py
@@ -153,11 +153,11 @@
         return struct.pack(">I", len(content)) + content
 
     body = struct.pack(">QQ", 12, 3) + record(b"a", b"1") + record(b"b", b"")
-    batch = _parse_batch(body, 10)
+    batch = _parse_batch(body, 10, 1)
     assert [(r.key, r.value) for r in batch.records] == [("a", b"1"), ("b", None)]
     assert batch.next == 12
     with pytest.raises(struct.error):
-        _parse_batch(body[:-1], 10)
+        _parse_batch(body[:-1], 10, 1)
 
 
 EVENTS = [b"id: %d\ndata: some id: text\n\n" % n for n in range(1, 6)]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -274,7 +274,7 @@
         struct.pack(">I", 3) + b"\x09ab",
         keyed_record(b"b", b"3"),
     ]
-    batch = _parse_batch(struct.pack(">QQ", 5, 0) + b"".join(records), 0)
+    batch = _parse_batch(struct.pack(">QQ", 5, 0) + b"".join(records), 0, 1)
     assert batch.next == 5
     assert [batch.records[n].value for n in (0, 4)] == [b"1", b"3"]
     assert len(batch.records) == 5
@@ -459,7 +459,7 @@
     "table": (read_table, (RecordError,), configuration(1)),
     "router": (read_router, (RecordError,), {}),
     "page": (_parse_page, (PlatformError,), {"items": [], "end": 1, "hasMore": False}),
-    "batch": (lambda data: _parse_batch(data, 0), (struct.error,), {}),
+    "batch": (lambda data: _parse_batch(data, 0, 1), (struct.error,), {}),
     "json": (parse_json, (UnreadableError,), RECORD),
     "envelope": (text_of(parse_envelope), (RecordError,), RECORD),
     "configuration": (text_of(apply_record), (), RECORD),
