--- a/packages/snipedeal-standins/src/snipedeal_standins/metastore.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/metastore.py
@@ -33,6 +33,10 @@
         """Offset that the next record gets."""
         return self.first + len(self.records)
 
+    def copy(self) -> "Topic":
+        """Return a topic with the same content that changes by itself."""
+        return Topic(self.first, list(self.records), dict(self.newest))
+
 
 @attrs.define
 class StoreFaults:
@@ -51,11 +55,22 @@
     page: int = 500
 
 
+@attrs.frozen
+class StoreCopy:
+    """Copy of all topics, from which a store can be restored."""
+
+    topics: dict[str, Topic]
+
+
 class MetaStore:
-    """Serve topics over HTTP, with fault injection, and record the calls."""
+    """Serve topics over HTTP, with fault injection, and record the calls.
+
+    :ivar era: rises by one with each restore; in the header of all responses.
+    """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
+        self.era = 1
         self.calls: list[str] = []
         self._topics: dict[str, Topic] = {}
         self._server = RawServer(self._handle)
@@ -102,6 +117,20 @@
         topic.changed.set()
         topic.changed = asyncio.Event()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store holds now."""
+        return StoreCopy({name: topic.copy() for name, topic in self._topics.items()})
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to an older copy: what was written since is lost.
+
+        Offsets are given out again. Open connections are reset, so that no long poll of
+        the former era is answered.
+        """
+        self.era += 1
+        self._topics = {name: topic.copy() for name, topic in copy.topics.items()}
+        self.reset_connections()
+
     async def _handle(self, request: RawRequest, writer: t.Any) -> None:
         self.calls.append(request.target)
         faults = self.faults
@@ -115,11 +144,14 @@
             await asyncio.sleep(3600)
         if mode:
             status = 503 if mode == "busy" else 429
-            writer.write(render_response(status, {}, b""))
+            writer.write(self._render(status, b""))
             return
         operation = request.path.removeprefix("/-/")
         status, body = await self._run_operation(operation, request)
-        writer.write(render_response(status, {}, body))
+        writer.write(self._render(status, body))
+
+    def _render(self, status: int, body: bytes) -> bytes:
+        return render_response(status, {"Store-Era": str(self.era)}, body)
 
     async def _run_operation(
         self, operation: str, request: RawRequest
@@ -161,13 +193,13 @@
 
     async def _read(self, name: str, start: int, wait_ms: float) -> tuple[int, bytes]:
         topic = self.topic(name)
-        if start >= topic.end and start >= topic.first and wait_ms:
+        if start == topic.end and wait_ms:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
                     await topic.changed.wait()
             except TimeoutError:
                 pass
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             return 410, json.dumps({"first": topic.first}).encode()
         parts = [struct.pack(">QQ", topic.end, topic.first)]
         for key, value in topic.records[start - topic.first :]:
