Let positions in the store's feeds belong to an era of the store

Cause: a position was an offset alone. Offsets are given out again after a return, so a read from an old one skips records once the new end has passed it, and gossip compared positions of two copies: followers ignored what readers forwarded, or took it for the continuation of what they had.

Change: Position is an era and an offset, ordered by the era first, in feeds, reads, gossip and forwarded records. A router lists a feed once in each era of the store, whatever its offset is, as soon as a read or a peer tells of a later one, and ignores answers of a former era. A router that the store turns away fetches what it misses from the peer that is furthest ahead (GET /feeds/NAME), and lists the feed itself once it can. A return of the store holds removals like an outage, since registrations may be lost; routers tell each other when the first of them noticed it. Gossip is extended at its end only, so routers of earlier releases read it.

Tests of feeds give positions instead of offsets and check the same.

--- a/packages/snipedeal-direct/src/snipedeal_direct/availability.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/availability.py
@@ -3,7 +3,8 @@
 Registrations of targets expire while the store can't take their heartbeats. Whether
 that was so is not for one router to say: its own call may fail since its connection was
 reset or the store turned it away. Routers therefore tell each other in which span of
-time the store has answered them. Without I/O and without a clock.
+time the store has answered them. A store that returns from an old copy may lack
+registrations as well, however short it was away. Without I/O and without a clock.
 """
 
 import math
@@ -24,12 +25,16 @@
     :param answered_ms: the latest answer.
     :param failed_ms: the latest failure of a call, of this router or a peer.
     :param has_recovered: whether the span began at the end of an outage.
+    :param era: latest era of the store that began while a router followed it.
+    :param era_since_ms: when the first router noticed that.
     """
 
     since_ms: float | None = None
     answered_ms: float = 0.0
     failed_ms: float = -math.inf
     has_recovered: bool = False
+    era: int = -1
+    era_since_ms: float = -math.inf
 
     def note_answer(self, now_ms: float) -> bool:
         """Record an answer to this router; return whether it ended an outage."""
@@ -59,16 +64,32 @@
             self.answered_ms = max(self.answered_ms, answered_ms)
         return False
 
+    def note_era(self, era: int, since_ms: float) -> None:
+        """Record that the store has returned from an old copy; the first notice counts.
+
+        :param since_ms: when a router noticed that.
+        """
+        if era > self.era:
+            self.era, self.era_since_ms = era, since_ms
+        elif era == self.era:
+            self.era_since_ms = min(self.era_since_ms, since_ms)
+
+    def restored_ms(self, now_ms: float) -> float:
+        """Return the time since the store returned from an old copy, else infinity."""
+        return now_ms - self.era_since_ms
+
     def recovered_ms(self, now_ms: float) -> float:
-        """Return for how long the store has answered again after an outage.
+        """Return for how long the store has answered again after an outage or a return.
 
         The time since the last answer counts unless a call has failed since.
 
-        :return: infinite if no outage is known, zero before the first answer.
+        :return: infinite if neither is known, zero before the first answer.
         """
         if self.since_ms is None:
             return 0.0
+        restored_ms = self.restored_ms(now_ms)
         if not self.has_recovered:
-            return math.inf
+            return restored_ms
         has_failed = self.failed_ms > self.answered_ms
-        return (self.answered_ms if has_failed else now_ms) - self.since_ms
+        answered_ms = (self.answered_ms if has_failed else now_ms) - self.since_ms
+        return min(answered_ms, restored_ms)
--- a/packages/snipedeal-direct/src/snipedeal_direct/following.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/following.py
@@ -6,6 +6,10 @@
 reach them or while their calls to the store fail. The election counts only routers
 that were heard from recently and can reach the store, so a router that hears from
 none of them becomes a reader.
+
+The store may return from an old copy, which begins a new era and gives offsets out
+again. A position therefore names its era. A router lists a feed, that is reads the
+newest record of each key, once in each era, whatever the offsets are.
 """
 
 import asyncio
@@ -16,6 +20,7 @@
 from snipedeal.utils import stable_hash
 from snipedeal_direct import defaults
 from snipedeal_direct.availability import Availability
+from snipedeal_direct.gossip import RecordsReport
 from snipedeal_direct.journal import info
 
 
@@ -40,11 +45,25 @@
     return sum(1 for peer in candidates if stable_hash("reader", peer) < own)
 
 
+@attrs.frozen(order=True)
+class Position:
+    """A place in a change feed; those of a later era come after all others.
+
+    :param era: era of the store, -1 before the first read.
+    :param offset: offset of the next record, -1 if it is not known.
+    """
+
+    era: int = -1
+    offset: int = -1
+
+
 @attrs.define
 class Feed:
     """Progress of this router in one change feed of the store.
 
-    :param position: offset of the next record, -1 before the first read.
+    :param position: position of the next record.
+    :param is_listed: whether this router has listed the feed in the era of
+        ``position``, so that it may read on from there.
     :param peer_position: highest position that a peer announced.
     :param behind_since_ms: since when ``peer_position`` exceeds ``position``.
     :param is_read_required: whether records are too large to be forwarded, so
@@ -55,16 +74,28 @@
     """
 
     name: str
-    position: int = -1
-    peer_position: int = -1
+    position: Position = Position()
+    is_listed: bool = False
+    peer_position: Position = Position()
     behind_since_ms: float = 0.0
     is_read_required: bool = False
     is_failing: bool = False
     availability: Availability = attrs.Factory(Availability)
     wakeup: asyncio.Event = attrs.Factory(asyncio.Event)
 
-    def advance(self, position: int) -> None:
-        """Record that all records before a position are applied."""
+    @property
+    def needs_listing(self) -> bool:
+        """Whether the newest records have to be read before any others."""
+        return not self.is_listed or self.peer_position.era > self.position.era
+
+    def advance(self, position: Position) -> None:
+        """Record that all records before a position are applied.
+
+        In a new era the feed counts as not listed: what a peer passed on may lack what
+        the peer has decided without a record.
+        """
+        if position.era > self.position.era:
+            self.is_listed = False
         self.position = max(self.position, position)
         if self.position >= self.peer_position:
             self.is_read_required = False
@@ -73,18 +104,19 @@
         """Start over from the newest records, since the next ones were compacted.
 
         Until they are read, forwarded records are ignored, since they start
-        after position -1.
+        after offset -1.
         """
-        self.position = -1
+        self.position = Position(self.position.era)
+        self.is_listed = False
 
-    def note_peer_position(self, position: int, now_ms: float) -> None:
+    def note_peer_position(self, position: Position, now_ms: float) -> None:
         """Record the position that a peer announced."""
         if position > self.peer_position:
             if self.peer_position <= self.position:
                 self.behind_since_ms = now_ms
             self.peer_position = position
 
-    def note_end(self, end: int, announced: int) -> None:
+    def note_end(self, end: Position, announced: Position) -> None:
         """Record the end of the feed as the store tells it.
 
         A peer that announced a later position before the read was wrong.
@@ -122,10 +154,15 @@
         self._now_ms = now_ms
 
     @property
-    def positions(self) -> dict[str, int]:
+    def positions(self) -> dict[str, Position]:
         """Position in each feed, by name."""
         return {name: feed.position for name, feed in self.feeds.items()}
 
+    @property
+    def era(self) -> int:
+        """Latest era of the store in which this router has read a feed."""
+        return max((feed.position.era for feed in self.feeds.values()), default=-1)
+
     @property
     def read_pause_ms(self) -> float:
         """Pause after a read that returned records, ms.
@@ -171,22 +208,44 @@
         up, and after a failure, whose end is then known at once.
         """
         feed = self.feed(name)
-        while not (self.is_reader or feed.is_failing or feed.is_behind(self._now_ms())):
+        while not (
+            self.is_reader
+            or feed.is_failing
+            or feed.needs_listing
+            or feed.is_behind(self._now_ms())
+        ):
             feed.wakeup.clear()
             await feed.wakeup.wait()
         if feed.is_failing or not self.is_reader:
             return 0
         return defaults.FEED_BACKUP_WAIT_MS if self.is_backup else defaults.FEED_WAIT_MS
 
-    def note_peer_positions(self, positions: t.Mapping[str, int]) -> None:
-        """Record the positions that a peer announced, by feed."""
+    def note_peer_positions(
+        self, offsets: t.Mapping[str, int], eras: t.Mapping[str, int]
+    ) -> dict[str, Position]:
+        """Record the positions that a peer announced, and return them by feed.
+
+        :param eras: era of each offset; routers of earlier releases name none.
+        """
         now_ms = self._now_ms()
-        for name, position in positions.items():
+        positions = {}
+        for name, offset in offsets.items():
             # A peer may follow feeds that this router does not know.
             if name in self.feeds:
-                self.feed(name).note_peer_position(position, now_ms)
-
-    def require_read(self, name: str, end: int) -> None:
+                feed = self.feed(name)
+                position = Position(eras.get(name, feed.position.era), offset)
+                feed.note_peer_position(position, now_ms)
+                positions[name] = position
+        return positions
+
+    def end_of(self, report: RecordsReport) -> Position:
+        """Return the position after the records of a report."""
+        era = report.era
+        if era is None:
+            era = self.feed(report.feed).position.era
+        return Position(era, report.end)
+
+    def require_read(self, name: str, end: Position) -> None:
         """Require a read of records that are too large for a datagram."""
         if name not in self.feeds:
             return
--- a/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
@@ -85,12 +85,15 @@
     :param end: offset after the last one.
     :param records: keys and values, ``None`` for a deleted key; empty if
         they are too large for a datagram.
+    :param era: era of the store to which the offsets belong; routers of earlier
+        releases name none.
     """
 
     feed: str
     start: int
     end: int
     records: tuple[tuple[str, bytes | None], ...]
+    era: int | None = None
 
 
 class CrashReport(msgspec.Struct, array_like=True, tag="x", frozen=True):
@@ -150,10 +153,15 @@
 
     :param age_ms: time since the latest answer, ms.
     :param length_ms: time from the first answer of the span to the latest, ms.
+    :param era: latest era of the store that began while a router followed it, -1 if
+        none is known.
+    :param era_age_ms: time since the first router noticed that, ms.
     """
 
     age_ms: NonNegative
     length_ms: NonNegative
+    era: t.Annotated[int, msgspec.Meta(ge=-1, le=2**53)] = -1
+    era_age_ms: NonNegative = 0
 
 
 class Gossip(msgspec.Struct, array_like=True):
@@ -164,6 +172,7 @@
     :param is_store_reachable: whether the sender's calls to the store succeed.
     :param store_span: when the store has answered reads of the targets' feed, ``None``
         if the sender knows of no answer.
+    :param eras: era of the store to which each position belongs, by change feed.
     """
 
     sender: str
@@ -172,6 +181,20 @@
     is_store_reachable: bool
     reports: list[Report]
     store_span: StoreSpan | None = None
+    eras: dict[str, int] = {}
+
+
+class FeedSnapshot(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows from a change feed: the newest record of each key.
+
+    :param era: era of the store to which the position belongs.
+    :param offset: next offset that the sender reads.
+    """
+
+    feed: str
+    era: int
+    offset: int
+    records: tuple[tuple[str, bytes], ...]
 
 
 def pack(header: Gossip, reports: t.Sequence[Report]) -> t.Iterator[bytes]:
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -16,8 +16,10 @@
 from snipedeal.exceptions import UnreadableError
 from snipedeal.utils import rank_by_rendezvous
 from snipedeal_direct import defaults
+from snipedeal_direct.following import Position
 from snipedeal_direct.gossip import CrashReport
 from snipedeal_direct.gossip import CustomerReport
+from snipedeal_direct.gossip import FeedSnapshot
 from snipedeal_direct.gossip import Gossip
 from snipedeal_direct.gossip import LeavingReport
 from snipedeal_direct.gossip import LimitReport
@@ -43,6 +45,8 @@
     from snipedeal_direct.router import DirectRouter
 
 CONFIG_PATH = b"/config"
+#: Path of a feed's snapshot, followed by the feed's name.
+FEED_PATH = b"/feeds/"
 
 
 @attrs.define
@@ -53,6 +57,7 @@
         and once the peer counts as silent.
     :param version: version of the configuration in force there.
     :param is_store_reachable: whether its calls to the store succeed.
+    :param positions: positions that it announced last, by change feed.
     """
 
     name: str
@@ -60,6 +65,7 @@
     heard_ms: float = 0.0
     version: int = -1
     is_store_reachable: bool = False
+    positions: dict[str, Position] = attrs.Factory(dict)
 
 
 @attrs.define
@@ -91,6 +97,7 @@
         self._name = router.settings.name
         self._peers: dict[str, Peer] = {}
         self._decoder = msgspec.msgpack.Decoder(Gossip)
+        self._snapshot_decoder = msgspec.msgpack.Decoder(FeedSnapshot)
         self._socket: socket.socket | None = None
         self._sent_reports: dict[tuple[str, ...], _SentReport] = {}
         self._last_refresh_ms = 0.0
@@ -101,7 +108,7 @@
         self._leaving_resends: dict[str, int] = {}
         self._leaving_services: dict[str, str] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._fetch: asyncio.Task[None] | None = None
+        self._fetch_task: asyncio.Task[None] | None = None
 
     @property
     def live_count(self) -> int:
@@ -121,6 +128,11 @@
             ),
         ]
 
+    @property
+    def has_heard_all(self) -> bool:
+        """Whether every other router that is known has been heard from lately."""
+        return all(peer.heard_ms for peer in self._peers.values())
+
     async def start(self) -> None:
         """Open the UDP socket and start sending and receiving."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -131,11 +143,12 @@
         self._tasks = [
             supervise(self._gossip_loop, "peers", self._router.metrics),
             supervise(self._poll_config, "peer-config", self._router.metrics),
+            supervise(self._poll_feeds, "peer-feeds", self._router.metrics),
         ]
 
     async def close(self) -> None:
         """Stop the tasks and close the socket."""
-        for task in (*self._tasks, self._fetch):
+        for task in (*self._tasks, self._fetch_task):
             if task is not None:
                 task.cancel()
         if self._socket is not None:
@@ -215,7 +228,9 @@
         peer.version = gossip.version
         peer.is_store_reachable = gossip.is_store_reachable
         self._apply_store_span(gossip, peer.heard_ms)
-        self._router.feed_tracker.note_peer_positions(gossip.positions)
+        peer.positions = self._router.feed_tracker.note_peer_positions(
+            gossip.positions, gossip.eras
+        )
         for report in gossip.reports:
             try:
                 self._apply_report(gossip.sender, report)
@@ -230,6 +245,8 @@
         span = gossip.store_span
         if span is None:
             return
+        if span.era > -1:
+            availability.note_era(span.era, now_ms - span.era_age_ms)
         answered_ms = now_ms - span.age_ms
         if availability.merge(answered_ms - span.length_ms, answered_ms):
             info("store.outage_ended", origin=gossip.sender, age_ms=span.age_ms)
@@ -238,8 +255,13 @@
         availability = self._router.store_availability
         if availability.since_ms is None:
             return None
-        age_ms = max(0, int(self._clock.now_ms() - availability.answered_ms))
-        return StoreSpan(age_ms, int(availability.answered_ms - availability.since_ms))
+        now_ms = self._clock.now_ms()
+        age_ms = max(0, int(now_ms - availability.answered_ms))
+        length_ms = int(availability.answered_ms - availability.since_ms)
+        if availability.era < 0:
+            return StoreSpan(age_ms, length_ms)
+        era_age_ms = max(0, int(availability.restored_ms(now_ms)))
+        return StoreSpan(age_ms, length_ms, availability.era, era_age_ms)
 
     def _note_unreadable(
         self, reason: str, address: tuple[str, int], size: int
@@ -473,13 +495,15 @@
         if self._socket is None or not self._peers or not (reports or is_heartbeat):
             return
         feed_tracker = self._router.feed_tracker
+        positions = feed_tracker.positions
         header = Gossip(
             self._name,
             self._router.routing.version,
-            feed_tracker.positions,
+            {name: position.offset for name, position in positions.items()},
             feed_tracker.is_store_reachable,
             [],
             self._own_store_span(),
+            {name: position.era for name, position in positions.items()},
         )
         for data in pack(header, reports):
             for peer in self._peers.values():
@@ -496,21 +520,70 @@
         previous_version = -1
         while True:
             await asyncio.sleep(defaults.PEER_CONFIG_INTERVAL_MS / 1000)
-            version = self._router.routing.version
-            newer = [p for p in self._peers.values() if p.version > version]
-            if version != previous_version or not newer:
+            version = self._router.known_version
+            if version != previous_version:
                 # While this router's version still changes, the store usually delivers
                 # the newer one by the next check, so no peer is asked yet.
                 previous_version = version
                 continue
-            peer = max(newer, key=lambda p: (p.version, p.heard_ms))
-            try:
-                async with asyncio.timeout(defaults.PEER_CONFIG_TIMEOUT_MS / 1000):
-                    document = await self._fetch_config(peer)
-            except (SnipedealError, TimeoutError) as error:
-                warning("peer.config_failed", peer=peer.name, error=str(error))
-                continue
-            self._router.apply_document(document, f"peer {peer.name}")
+            await self.fetch_newer_config()
+
+    def has_newer_config(self) -> bool:
+        """Return whether a peer has a newer configuration than this router."""
+        version = self._router.known_version
+        return any(peer.version > version for peer in self._peers.values())
+
+    async def fetch_newer_config(self) -> None:
+        """Fetch the newest configuration of the peers if this router's is older."""
+        if not self.has_newer_config():
+            return
+        peer = max(self._peers.values(), key=lambda p: (p.version, p.heard_ms))
+        try:
+            async with asyncio.timeout(defaults.PEER_CONFIG_TIMEOUT_MS / 1000):
+                document = await self._fetch(peer, CONFIG_PATH)
+        except (SnipedealError, TimeoutError) as error:
+            warning("peer.config_failed", peer=peer.name, error=str(error))
+            return
+        self._router.apply_document(document, f"peer {peer.name}")
+
+    async def _poll_feeds(self) -> None:
+        """Fetch what peers know from a feed while the store turns this router away."""
+        tracker = self._router.feed_tracker
+        while True:
+            await asyncio.sleep(defaults.PEER_CONFIG_INTERVAL_MS / 1000)
+            now_ms = self._clock.now_ms()
+            for name, feed in tracker.feeds.items():
+                if feed.is_failing and feed.is_behind(now_ms):
+                    await self._fetch_feed(name, feed.position)
+
+    async def _fetch_feed(self, name: str, position: Position) -> None:
+        """Fetch a snapshot of a feed from the peer that is furthest ahead."""
+        ahead = [
+            peer
+            for peer in self._peers.values()
+            if peer.heard_ms and peer.positions.get(name, position) > position
+        ]
+        if not ahead:
+            return
+        peer = max(ahead, key=lambda p: (p.positions[name], p.heard_ms))
+        try:
+            async with asyncio.timeout(defaults.PEER_CONFIG_TIMEOUT_MS / 1000):
+                body = await self._fetch(peer, FEED_PATH + name.encode())
+            snapshot = decode(self._snapshot_decoder.decode, body)
+        except (SnipedealError, TimeoutError) as error:
+            warning("peer.feed_failed", peer=peer.name, feed=name, error=str(error))
+            return
+        info(
+            "peer.feed_fetched",
+            peer=peer.name,
+            feed=name,
+            era=snapshot.era,
+            offset=snapshot.offset,
+            position=position.offset,
+            position_era=position.era,
+            records=len(snapshot.records),
+        )
+        self._router.apply_snapshot(snapshot)
 
     def fetch_announced(self, sender: str, report: RecordsReport) -> None:
         """Fetch the configuration that a reader has announced, unless it is known.
@@ -519,35 +592,37 @@
         version would be most of the fleet's calls.
         """
         feed = self._router.feed_tracker.feed(report.feed)
+        end = self._router.feed_tracker.end_of(report)
         peer = self._peers.get(sender)
-        is_fetching = self._fetch is not None and not self._fetch.done()
-        if report.end <= feed.position or is_fetching:
+        is_fetching = self._fetch_task is not None and not self._fetch_task.done()
+        if end <= feed.position or is_fetching:
             return
-        if peer is None or not report.start <= feed.position:
-            self._router.feed_tracker.require_read(report.feed, report.end)
+        has_gap = end.era > feed.position.era or report.start > feed.position.offset
+        if peer is None or has_gap:
+            self._router.feed_tracker.require_read(report.feed, end)
             return
-        self._fetch = asyncio.create_task(
-            self._fetch_or_read(peer, report), name="peer-config-announced"
+        self._fetch_task = asyncio.create_task(
+            self._fetch_or_read(peer, report.feed, end), name="peer-config-announced"
         )
 
-    async def _fetch_or_read(self, peer: Peer, report: RecordsReport) -> None:
+    async def _fetch_or_read(self, peer: Peer, feed: str, end: Position) -> None:
         try:
             async with asyncio.timeout(defaults.PEER_CONFIG_TIMEOUT_MS / 1000):
-                document = await self._fetch_config(peer)
+                document = await self._fetch(peer, CONFIG_PATH)
         except (SnipedealError, TimeoutError) as error:
             warning("peer.config_failed", peer=peer.name, error=str(error))
-            self._router.feed_tracker.require_read(report.feed, report.end)
+            self._router.feed_tracker.require_read(feed, end)
             return
         self._router.apply_document(document, f"peer {peer.name}")
-        self._router.feed_tracker.feed(report.feed).advance(report.end)
+        self._router.feed_tracker.feed(feed).advance(end)
 
-    async def _fetch_config(self, peer: Peer) -> bytes:
+    async def _fetch(self, peer: Peer, path: bytes) -> bytes:
         connection = await self._router.pool.connect(peer.address)
         try:
-            connection.send(b"GET %s HTTP/1.1\r\nhost: peer\r\n\r\n" % CONFIG_PATH)
+            connection.send(b"GET %s HTTP/1.1\r\nhost: peer\r\n\r\n" % path)
             head = await connection.head()
             if head.status != 200:
-                raise MessageError(f"status {head.status}", "peer-config", peer.name)
+                raise MessageError(f"status {head.status}", "peer-fetch", peer.name)
             return await connection.body(defaults.PEER_CONFIG_BYTES)
         finally:
             self._router.pool.release(connection)
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -17,6 +17,7 @@
 from snipedeal_direct.egress import Pool
 from snipedeal_direct.following import FeedTracker
 from snipedeal_direct.forwarding import Forwarder
+from snipedeal_direct.gossip import FeedSnapshot
 from snipedeal_direct.gossip import RecordsReport
 from snipedeal_direct.ingress import Exchange
 from snipedeal_direct.ingress import IngressServer
@@ -30,6 +31,7 @@
 from snipedeal_direct.model import RouteTable
 from snipedeal_direct.model import Target
 from snipedeal_direct.peers import CONFIG_PATH
+from snipedeal_direct.peers import FEED_PATH
 from snipedeal_direct.peers import Peers
 from snipedeal_direct.queueing import Refusal
 from snipedeal_direct.routing import Routing
@@ -110,6 +112,16 @@
         """When the store has answered reads of the feed that carries the targets."""
         return self.feed_tracker.feed(self._source.target_feed).availability
 
+    @property
+    def document(self) -> bytes:
+        """The configuration in force as it was read, empty before the first."""
+        return self._document
+
+    @property
+    def known_version(self) -> int:
+        """Version of the newest configuration that this router has, -1 if none."""
+        return self.routing.version
+
     @property
     def is_ready(self) -> bool:
         """Whether the router may receive requests."""
@@ -268,7 +280,12 @@
         elif report.feed == self._source.config_feed:
             self.peers.fetch_announced(sender, report)
         else:
-            self.feed_tracker.require_read(report.feed, report.end)
+            end = self.feed_tracker.end_of(report)
+            self.feed_tracker.require_read(report.feed, end)
+
+    def apply_snapshot(self, snapshot: FeedSnapshot) -> None:
+        """Apply what a peer knows from a change feed of the store."""
+        self._source.apply_snapshot(snapshot)
 
     def _on_records(self, report: RecordsReport) -> None:
         """Forward records from the store to peers if this router is a reader.
@@ -313,10 +330,18 @@
         exchange.respond(200, headers, self.metrics.render())
 
     def _serve_config(self, exchange: Exchange) -> None:
-        if exchange.request.path != CONFIG_PATH or not self._document:
-            exchange.respond(404, [], b"")
+        path = exchange.request.path
+        body = None
+        if path == CONFIG_PATH:
+            body = self._document
+        elif path.startswith(FEED_PATH):
+            name = path.removeprefix(FEED_PATH).decode("latin-1")
+            snapshot = self._source.snapshot(name)
+            body = snapshot and msgspec.msgpack.encode(snapshot)
+        if body:
+            exchange.respond(200, [], body)
         else:
-            exchange.respond(200, [], self._document)
+            exchange.respond(404, [], b"")
 
 
 def _load_source_factory(settings: DirectSettings) -> SourceFactory:
--- a/packages/snipedeal-direct/src/snipedeal_direct/source.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/source.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from snipedeal_direct.gossip import FeedSnapshot
 from snipedeal_direct.gossip import RecordsReport
 from snipedeal_direct.model import HeaderNames
 from snipedeal_direct.model import RouteTable
@@ -53,6 +54,12 @@
     def apply_records(self, report: RecordsReport) -> None:
         """Apply records that a peer read, unless earlier ones are missing."""
 
+    def snapshot(self, name: str) -> FeedSnapshot | None:
+        """Return what is known from a feed, ``None`` if that is nothing."""
+
+    def apply_snapshot(self, snapshot: FeedSnapshot) -> None:
+        """Apply what a peer knows from a feed, unless this router knows more."""
+
     def read_table(self, document: bytes) -> RouteTable:
         """Decode the route table of a document that a peer sent."""
 
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -9,6 +9,7 @@
 from snipedeal_direct import defaults
 from snipedeal_direct.availability import Availability
 from snipedeal_direct.following import FeedTracker
+from snipedeal_direct.following import Position
 from snipedeal_direct.gossip import Gossip
 from snipedeal_direct.gossip import StoreSpan
 from snipedeal_direct.gossip import pack
@@ -166,7 +167,7 @@
         end = _turn_away(router, monkeypatch)
         if not is_reader:
             # A follower calls the store only if a change has not reached it.
-            router.feed_tracker.require_read("targets", 10**6)
+            router.feed_tracker.require_read("targets", Position(1, 10**6))
         await edge.wait_until(lambda: router.is_store_unreachable)
         await asyncio.sleep(OUTAGE_S)
         end()
@@ -223,7 +224,7 @@
         follower = next(r for r in edge.routers if not r.feed_tracker.is_reader)
         edge.store.faults.topics = frozenset({"keyed.op"})
         edge.store.faults.mode = "busy"
-        follower.feed_tracker.require_read("config", 10**6)
+        follower.feed_tracker.require_read("config", Position(1, 10**6))
         await edge.wait_until(lambda: follower.is_store_unreachable)
         calls = []
         read = follower._source._store.read
@@ -233,7 +234,7 @@
             return await read(topic, offset, wait_ms)
 
         follower._source._store.read = count
-        follower.feed_tracker.require_read("targets", 10**6)
+        follower.feed_tracker.require_read("targets", Position(1, 10**6))
         await asyncio.sleep(0.5)
         assert calls.count("keyed.servers") <= 2
 
@@ -255,7 +256,8 @@
 def test_first_read_after_a_failure_does_not_wait():
     clock = iter(range(0, 10**6, 10))
     tracker = FeedTracker("a", lambda: next(clock))
-    tracker.feed("targets").advance(10)
+    tracker.feed("targets").advance(Position(0, 10))
+    tracker.feed("targets").is_listed = True
     assert tracker.note_failure("targets") == 0
     assert asyncio.run(tracker.wait_until_due("targets")) == 0
     assert tracker.note_failure("targets") == defaults.FEED_RETRY_MS
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -7,6 +7,7 @@
 
 from snipedeal_direct import defaults
 from snipedeal_direct.following import FeedTracker
+from snipedeal_direct.following import Position
 from snipedeal_direct.following import is_reader
 from snipedeal_direct.gossip import Gossip
 from snipedeal_direct.gossip import TargetReport
@@ -47,7 +48,8 @@
 def make_follower(clock):
     tracker = FeedTracker("zz", clock)
     names = [f"router-{n}" for n in range(200)]
-    tracker.feed("targets").advance(10)
+    tracker.feed("targets").advance(Position(0, 10))
+    tracker.feed("targets").is_listed = True
     tracker.update_role(names)
     assert not tracker.is_reader
     return tracker
@@ -57,21 +59,21 @@
     clock = FakeClock()
     tracker = make_follower(clock)
     feed = tracker.feed("targets")
-    tracker.note_peer_positions({"targets": 12})
+    tracker.note_peer_positions({"targets": 12}, {})
     assert not feed.is_behind(clock.now)
     clock.now += defaults.FEED_GAP_MS
     assert feed.is_behind(clock.now)
-    feed.advance(12)
+    feed.advance(Position(0, 12))
     assert not feed.is_behind(clock.now)
     # The next change restarts the wait.
-    tracker.note_peer_positions({"targets": 13})
+    tracker.note_peer_positions({"targets": 13}, {})
     assert not feed.is_behind(clock.now)
 
 
 def test_follower_reads_records_too_large_for_a_datagram_at_once():
     clock = FakeClock()
     tracker = make_follower(clock)
-    tracker.require_read("targets", 11)
+    tracker.require_read("targets", Position(0, 11))
     assert asyncio.run(tracker.wait_until_due("targets")) == 0
 
 
@@ -101,9 +103,10 @@
 def test_reset_feed_does_not_continue_at_its_old_position():
     feed = make_follower(FakeClock()).feed("targets")
     feed.reset()
-    assert feed.position == -1
-    feed.advance(30)
-    assert feed.position == 30
+    assert feed.position == Position(0, -1)
+    assert feed.needs_listing
+    feed.advance(Position(0, 30))
+    assert feed.position == Position(0, 30)
 
 
 ROUTER_COUNT = defaults.STORE_READERS + 2
