--- a/packages/snipedeal-direct/src/snipedeal_direct/source.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/source.py
@@ -44,6 +44,8 @@
     #: Names of the change feeds that carry the configuration and the targets.
     config_feed: str
     target_feed: str
+    #: Whether the other routers that are registered have been reported.
+    has_listed_routers: bool
 
     def start(self) -> None:
         """Start to follow changes at the platform."""
