Compare the first configuration with the peers' before it is in force

Callers of a router that had just started could be answered by an older configuration than the one confirmed: with a withdrawn key, by a former service, or with 404.

Cause: a router that starts took the store's newest configuration for the newest. A store that has returned from an old copy has it only once the operator has written again.

Change: a router that has started holds its first configuration until it has heard from all routers that are registered, for 500 ms at most, and fetches a newer one from the peer that announces it, for 2 s at most.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -260,6 +260,17 @@
 #: Timeout of a configuration request to a peer, ms.
 PEER_CONFIG_TIMEOUT_MS = 800
 
+# -- joining the fleet ---------------------------------------------------------
+#: Longest time for which a router that has started waits to hear from its peers before
+#: its first configuration is in force, ms; a few report intervals of a large fleet.
+JOIN_WAIT_MS = 500
+#: The same while a peer announces a newer configuration that it does not hand out, ms.
+JOIN_LIMIT_MS = 2_000
+#: Interval at which a router checks whether it may join, ms.
+JOIN_POLL_MS = 10
+#: The same after it could not fetch the newer configuration of a peer, ms.
+JOIN_RETRY_MS = 100
+
 # -- store long polls ---------------------------------------------------------
 #: Routers that long-poll the store for changes; two may fail at once.
 STORE_READERS = 3
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -1,6 +1,7 @@
 """The router process: its shared state, components and life cycle."""
 
 import asyncio
+import functools
 import importlib
 import os
 
@@ -21,6 +22,7 @@
 from snipedeal_direct.gossip import RecordsReport
 from snipedeal_direct.ingress import Exchange
 from snipedeal_direct.ingress import IngressServer
+from snipedeal_direct.joining import join
 from snipedeal_direct.journal import LogWriter
 from snipedeal_direct.journal import info
 from snipedeal_direct.journal import warning
@@ -63,6 +65,8 @@
         self.is_store_unreachable = True
         self.stopping_since_ms = 0.0
         self.log_writer = log_writer
+        self.has_joined = False
+        self._first_table: tuple[RouteTable, bytes, str] | None = None
         self._document = b""
         events = SourceEvents(
             self._on_table,
@@ -120,8 +124,15 @@
     @property
     def known_version(self) -> int:
         """Version of the newest configuration that this router has, -1 if none."""
+        if self._first_table is not None:
+            return self._first_table[0].version
         return self.routing.version
 
+    @property
+    def has_listed_routers(self) -> bool:
+        """Whether the registrations of the other routers have been read."""
+        return self._source.has_listed_routers
+
     @property
     def is_ready(self) -> bool:
         """Whether the router may receive requests."""
@@ -140,9 +151,10 @@
         self.dispatcher.start()
         self._source.start()
         await self._ingress.start(*split_address(settings.listen))
-        self._tasks.append(
-            supervise(self._expire_idle_connections, "expire", self.metrics)
-        )
+        self._tasks += [
+            supervise(self._expire_idle_connections, "expire", self.metrics),
+            supervise(functools.partial(join, self), "join", self.metrics),
+        ]
 
     async def close(self) -> None:
         """Close all components."""
@@ -225,7 +237,18 @@
     def _on_table(self, table: RouteTable, document: bytes) -> None:
         self._apply_table(table, document, "store")
 
+    def apply_first_table(self) -> None:
+        """Put the newest configuration that was received in force."""
+        self.has_joined = True
+        first, self._first_table = self._first_table, None
+        if first is not None:
+            self._apply_table(*first)
+
     def _apply_table(self, table: RouteTable, document: bytes, origin: str) -> None:
+        if not self.has_joined:
+            if table.version > self.known_version:
+                self._first_table = (table, document, origin)
+            return
         before = self.routing.version
         if not self.routing.apply(table):
             if table.version < before:
