Give up positions that a listing of the store proves wrong

Change: a listing that was begun at a position which the store turns out not to have is the store's word against a peer's, and is applied.

--- a/packages/snipedeal-direct/src/snipedeal_direct/following.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/following.py
@@ -100,6 +100,13 @@
         if self.position >= self.peer_position:
             self.is_read_required = False
 
+    def restart(self, position: Position) -> None:
+        """Record that this router has listed the feed up to a position."""
+        self.position = position
+        self.is_listed = True
+        if self.position >= self.peer_position:
+            self.is_read_required = False
+
     def reset(self) -> None:
         """Start over from the newest records, since the next ones were compacted.
 
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -8,6 +8,8 @@
 
 from snipedeal.exceptions import LogUnavailableError
 from snipedeal_direct import defaults
+from snipedeal_direct.following import Position
+from snipedeal_direct.gossip import FeedSnapshot
 from snipedeal_direct.model import TargetState
 from snipedeal_standins.edge import Edge
 from snipedeal_standins.edge import configuration
@@ -161,6 +163,24 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("position", [Position(99, 3), Position(1, 10**6)])
+def test_position_that_the_store_does_not_have_is_given_up(position):
+    async def scenario(edge):
+        router = edge.routers[0]
+        feed = router.feed_tracker.feed("targets")
+        router.apply_snapshot(
+            FeedSnapshot("targets", position.era, position.offset, ())
+        )
+        assert feed.position == position
+        edge.store.reset_connections()
+        await expect(lambda: feed.position.era == 1, CONFIG_LIMIT_S)
+        await edge.add_replica(ReplicaSpec("desk-9", "desk"))
+        await expect(lambda: "desk-9" in states(router), CONFIG_LIMIT_S)
+        assert len(edge.store.calls) < 1_000
+
+    run_fleet(scenario)
+
+
 def test_target_that_leaves_is_not_ready_again_by_an_old_entry():
     async def scenario(edge):
         copy = edge.store.copy()
