Let the soak's store return from old copies

The soak had no fault in which the store loses what it has acknowledged. restore_store returns it to a copy of 0.2 to 3 s before, after up to a second away; the operator and the replicas write again what was lost, routers must do so themselves. Registrations of the soak's replicas count heartbeats now.

--- a/packages/snipedeal-standins/src/snipedeal_standins/metastore.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/metastore.py
@@ -72,6 +72,8 @@
         self.faults = StoreFaults()
         self.era = 1
         self.calls: list[str] = []
+        # Last value of each topic and key, also if a restore has lost it.
+        self._written: dict[tuple[str, str], bytes] = {}
         self._topics: dict[str, Topic] = {}
         self._server = RawServer(self._handle)
 
@@ -98,6 +100,7 @@
 
     def put(self, name: str, key: str, value: bytes) -> int:
         """Append a record and return its offset; an empty value deletes the key."""
+        self._written[name, key] = value
         topic = self.topic(name)
         offset = topic.end
         topic.records.append((key, value))
@@ -131,6 +134,13 @@
         self._topics = {name: topic.copy() for name, topic in copy.topics.items()}
         self.reset_connections()
 
+    def write_again(self, names: t.Sequence[str]) -> None:
+        """Write what the writers of topics wrote last and a restore has lost."""
+        for (name, key), value in list(self._written.items()):
+            newest, _ = self.topic(name).newest.get(key, (b"", 0))
+            if name in names and newest != value:
+                self.put(name, key, value)
+
     async def _handle(self, request: RawRequest, writer: t.Any) -> None:
         self.calls.append(request.target)
         faults = self.faults
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak.py
@@ -26,6 +26,7 @@
 from snipedeal_standins.soak_checks import SoakCall
 from snipedeal_standins.soak_faults import FAULTS
 from snipedeal_standins.soak_faults import LOAD_FAULTS
+from snipedeal_standins.soak_faults import RESTORE_FAULTS
 from snipedeal_standins.soak_faults import STATE_FAULTS
 from snipedeal_standins.soak_stage import RelayedRouter
 from snipedeal_standins.soak_stage import SoakEnvironment
@@ -158,6 +159,7 @@
             FAULTS.keys()
             - (set() if self.env.plan.has_load_faults else LOAD_FAULTS)
             - (set() if self.env.plan.has_state_faults else STATE_FAULTS)
+            - (set() if self.env.plan.has_restores else RESTORE_FAULTS)
         )
         end_s = time.monotonic() + seconds
         active: set[asyncio.Task[list[str]]] = set()
@@ -270,6 +272,7 @@
     plain: int = 2,
     engines: int = 3,
     callers: int = 8,
+    restores: bool = True,
     keep: str = "soak-logs",
 ) -> int:
     """Run soak tests and print the answers, the injected faults and all violations.
@@ -281,12 +284,22 @@
     :param plain: number of plain replicas.
     :param engines: number of model engines.
     :param callers: number of concurrent callers.
+    :param restores: whether the store may return from old copies; seeds of earlier
+        releases draw the faults that they drew then without.
     :param keep: directory in which the logs of failed runs are kept.
     """
     first_seed = seed or random.SystemRandom().randrange(1, 1_000_000)
     failed = 0
     for run_seed in range(first_seed, first_seed + seeds):
-        plan = SoakPlan(run_seed, seconds, routers, plain, engines, callers)
+        plan = SoakPlan(
+            run_seed,
+            seconds,
+            routers,
+            plain,
+            engines,
+            callers,
+            has_restores=restores,
+        )
         with tempfile.TemporaryDirectory() as directory_name:
             directory = pathlib.Path(directory_name)
             run = asyncio.run(run_soak(plan, directory))
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_faults.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_faults.py
@@ -47,6 +47,8 @@
 LOAD_FAULTS: set[str] = set()
 #: Names of the faults that are drawn only in runs with state faults.
 STATE_FAULTS: set[str] = set()
+#: Names of the faults that are drawn only in runs with restores of the store.
+RESTORE_FAULTS: set[str] = set()
 
 
 def register_fault(function: Fault) -> Fault:
@@ -67,6 +69,12 @@
     return register_fault(function)
 
 
+def register_restore_fault(function: Fault) -> Fault:
+    """Register a fault that is drawn only in runs with restores of the store."""
+    RESTORE_FAULTS.add(function.__name__)
+    return register_fault(function)
+
+
 # -- routers -------------------------------------------------------------------------
 
 
@@ -212,6 +220,21 @@
     return []
 
 
+@register_restore_fault
+async def restore_store(env: SoakEnvironment, duration_s: float) -> list[str]:
+    """Return the store to a copy; operator and replicas write again what it lost."""
+    copy = env.store.copy()
+    await asyncio.sleep(duration_s)
+    env.store.faults.mode = "reset"
+    env.store.reset_connections()
+    await asyncio.sleep(env.rng.uniform(0.0, 1.0))
+    env.store.restore(copy)
+    env.store.faults.mode = ""
+    await asyncio.sleep(env.rng.uniform(0.0, 0.3))
+    env.store.write_again(("keyed.op", "keyed.servers"))
+    return []
+
+
 # -- configuration ---------------------------------------------------------------------
 
 
--- a/packages/snipedeal-standins/src/snipedeal_standins/soak_stage.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/soak_stage.py
@@ -34,6 +34,7 @@
         then.
     :param has_state_faults: the same for replicas that say of themselves that they
         leave or want a pause, and for odd entries.
+    :param has_restores: the same for returns of the store from old copies.
     """
 
     seed: int = 1
@@ -44,6 +45,7 @@
     callers: int = 8
     has_load_faults: bool = True
     has_state_faults: bool = True
+    has_restores: bool = True
 
 
 @attrs.define
@@ -159,6 +161,7 @@
         self.crashing_part = ""
         self.crashes_s: dict[str, list[float]] = {}
         self.version = 0
+        self._sequence = 0
         self._restarts: set[asyncio.Task[None]] = set()
 
     # -- lifecycle -----------------------------------------------------------------
@@ -252,6 +255,8 @@
 
     def register(self, relayed: RelayedReplica, **changes: t.Any) -> None:
         """Write a replica's registration to the store."""
+        self._sequence += 1
+        changes = {"sequence": self._sequence, **changes}
         entry = relayed.replica.registration(address=relayed.relay.address, **changes)
         self.store.put("keyed.servers", relayed.id, json.dumps(entry).encode())
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -194,8 +194,10 @@
     assert checks.check_recovery_load(served, ["one", "two"])
 
 
-def test_short_run_has_no_violations(tmp_path):
-    run = asyncio.run(run_soak(SoakPlan(seed=1, seconds=5.0), tmp_path))
+@pytest.mark.parametrize("has_restores", [False, True])
+def test_short_run_has_no_violations(tmp_path, has_restores):
+    plan = SoakPlan(seed=1, seconds=5.0, has_restores=has_restores)
+    run = asyncio.run(run_soak(plan, tmp_path))
     assert run.violations == []
     assert any(call.is_success for call in run.callers.calls)
 
@@ -207,6 +209,7 @@
         seconds=10.0,
         has_load_faults=seed in LOAD_FAULT_SEEDS,
         has_state_faults=seed in STATE_FAULT_SEEDS,
+        has_restores=False,
     )
     run = asyncio.run(run_soak(plan, tmp_path))
     assert run.violations == []
