Wait for the peers' configuration from when the peers are known

A router that starts at a new address while the store is away knows no peers until it can list them. It counted the 500 ms from its first configuration, so a slow listing after the store's return let it serve an old one before it could hear anybody. Found by reading; the rule's test has the case and fails on the rule before, which had no such time.

Change: the 500 ms count from the listing, 2 s in all as before.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -261,10 +261,12 @@
 PEER_CONFIG_TIMEOUT_MS = 800
 
 # -- joining the fleet ---------------------------------------------------------
-#: Longest time for which a router that has started waits to hear from its peers before
-#: its first configuration is in force, ms; a few report intervals of a large fleet.
+#: Longest time for which a router that has started waits to hear from the routers that
+#: are registered before its first configuration is in force, ms; a few report intervals
+#: of a large fleet.
 JOIN_WAIT_MS = 500
-#: The same while a peer announces a newer configuration that it does not hand out, ms.
+#: The same while a peer does not hand out the newer configuration that it announces, or
+#: the registrations can't be read, ms.
 JOIN_LIMIT_MS = 2_000
 #: Interval at which a router checks whether it may join, ms.
 JOIN_POLL_MS = 10
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -134,7 +134,7 @@
             await asyncio.sleep(0.01)
 
 
-def _turn_away(router, monkeypatch):
+def turn_away(router, monkeypatch):
     """Let a router's calls to the store fail; return a function that ends it."""
     client = router._source._store
     whole = client._exchange
@@ -164,7 +164,7 @@
 ):
     async def scenario(edge):
         router = next(r for r in edge.routers if r.feed_tracker.is_reader is is_reader)
-        end = _turn_away(router, monkeypatch)
+        end = turn_away(router, monkeypatch)
         if not is_reader:
             # A follower calls the store only if a change has not reached it.
             router.feed_tracker.require_read("targets", Position(1, 10**6))
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -6,9 +6,9 @@
 from snipedeal_direct.joining import may_join
 
 ALONE = {
-    "waited_ms": 0.0,
+    "waited_ms": 10.0,
+    "listed_ms": 0.0,
     "has_newer_peer": False,
-    "has_listed_routers": True,
     "has_heard_all": True,
 }
 
@@ -18,9 +18,9 @@
     [
         ({}, True),
         ({"has_heard_all": False}, False),
-        ({"has_listed_routers": False}, False),
-        ({"has_heard_all": False, "waited_ms": defaults.JOIN_WAIT_MS}, True),
-        ({"has_listed_routers": False, "waited_ms": defaults.JOIN_WAIT_MS}, True),
+        ({"has_heard_all": False, "listed_ms": defaults.JOIN_WAIT_MS}, True),
+        ({"listed_ms": None, "waited_ms": defaults.JOIN_WAIT_MS}, False),
+        ({"listed_ms": None, "waited_ms": defaults.JOIN_LIMIT_MS}, True),
         ({"has_newer_peer": True}, False),
         ({"has_newer_peer": True, "waited_ms": defaults.JOIN_LIMIT_MS - 1}, False),
         ({"has_newer_peer": True, "waited_ms": defaults.JOIN_LIMIT_MS}, True),
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -5,8 +5,8 @@
 import random
 
 import pytest
+from test_availability import turn_away
 
-from snipedeal.exceptions import LogUnavailableError
 from snipedeal_direct import defaults
 from snipedeal_direct.following import Position
 from snipedeal_direct.gossip import FeedSnapshot
@@ -68,19 +68,6 @@
             await asyncio.sleep(0.01)
 
 
-def turn_away(router, monkeypatch):
-    """Let a router's calls to the store fail; return a function that ends it."""
-    client = router._source._store
-    whole = client._exchange
-
-    async def fail(data):
-        raise LogUnavailableError("turned away", "test")
-
-    monkeypatch.setattr(client, "_exchange", fail)
-    client._pool.forget(client._address)
-    return lambda: monkeypatch.setattr(client, "_exchange", whole)
-
-
 def test_end_that_overtakes_an_old_position_hides_no_records():
     async def scenario(edge):
         copy = edge.store.copy()
