--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -21,6 +21,8 @@
 from snipedeal_direct.egress import BrokenResponseError
 from snipedeal_direct.egress import Connection
 from snipedeal_direct.egress import Pool
+from snipedeal_direct.peers import CONFIG_PATH
+from snipedeal_direct.peers import FEED_PATH
 from snipedeal_direct.peers import Peer
 from snipedeal_platform.store import TOPIC_BYTES
 from snipedeal_platform.store import StoreClient
@@ -200,8 +202,9 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("path", [CONFIG_PATH, FEED_PATH + b"targets"])
 @pytest.mark.parametrize("name", ENDLESS)
-def test_endless_configuration_of_a_peer_does_not_exhaust_memory(name):
+def test_endless_response_of_a_peer_does_not_exhaust_memory(name, path):
     async def scenario():
         edge = Edge()
         server = EndlessServer(*ENDLESS[name], 0.0)
@@ -211,7 +214,7 @@
             (router,) = edge.routers
             host, _, port = server.address.rpartition(":")
             peer = Peer("endless", (host, int(port)))
-            await check_bounded(lambda: router.peers._fetch_config(peer))
+            await check_bounded(lambda: router.peers._fetch(peer, path))
             await edge.wait_until(lambda: not server.connections)
         finally:
             await edge.close()
