--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -4,12 +4,17 @@
 import json
 import random
 
+import msgspec
 import pytest
 from test_availability import turn_away
 
 from snipedeal_direct import defaults
 from snipedeal_direct.following import Position
 from snipedeal_direct.gossip import FeedSnapshot
+from snipedeal_direct.gossip import Gossip
+from snipedeal_direct.gossip import RecordsReport
+from snipedeal_direct.gossip import StoreSpan
+from snipedeal_direct.gossip import pack
 from snipedeal_direct.model import TargetState
 from snipedeal_standins.edge import Edge
 from snipedeal_standins.edge import configuration
@@ -486,3 +491,55 @@
 @pytest.mark.parametrize("seed", range(1, 7))
 def test_invariants_hold_among_restores_cuts_joins_and_releases(seed, monkeypatch):
     run_fleet(lambda edge: play_restores(edge, seed, monkeypatch))
+
+
+# -- routers of earlier releases -------------------------------------------------------
+
+
+class FormerRecordsReport(msgspec.Struct, array_like=True, tag="r", frozen=True):
+    feed: str
+    start: int
+    end: int
+    records: tuple[tuple[str, bytes | None], ...]
+
+
+class FormerStoreSpan(msgspec.Struct, array_like=True, frozen=True):
+    age_ms: int
+    length_ms: int
+
+
+class FormerGossip(msgspec.Struct, array_like=True):
+    sender: str
+    version: int
+    positions: dict[str, int]
+    is_store_reachable: bool
+    reports: list[FormerRecordsReport]
+    store_span: FormerStoreSpan | None = None
+
+
+def test_router_of_an_earlier_release_reads_positions_without_their_eras():
+    records = RecordsReport("targets", 4, 5, (("a", b"x"),), 2)
+    header = Gossip(
+        "a", 1, {"targets": 5}, True, [], StoreSpan(1, 2, 3, 4), {"targets": 2}
+    )
+    (data,) = pack(header, [records])
+    former = msgspec.msgpack.decode(data, type=FormerGossip)
+    assert former.positions == {"targets": 5}
+    assert former.reports == [FormerRecordsReport("targets", 4, 5, (("a", b"x"),))]
+
+
+def test_positions_of_an_earlier_release_count_in_the_era_that_is_read():
+    async def scenario(edge):
+        router = edge.routers[0]
+        offset = router.feed_tracker.feed("targets").position.offset
+        value = json.dumps(
+            edge.replicas["desk-1"].registration(state="draining", sequence=5)
+        ).encode()
+        former = FormerGossip("router-x", 1, {"targets": offset + 1}, True, [])
+        former.reports.append(
+            FormerRecordsReport("targets", offset, offset + 1, (("desk-1", value),))
+        )
+        router.peers.receive(msgspec.msgpack.encode(former), ("127.0.0.1", 9))
+        assert states(router)["desk-1"] is TargetState.LEAVING
+
+    run_fleet(scenario, routers=1)
