Check the version with which routers join in the random test of restores

The invariants covered configurations that go back at a running router only. A router that joins must begin with what all others had half a second before; half of the restores have a router join before the operator writes again.

--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -27,6 +27,8 @@
 CONFIG_LIMIT_S = 2.0
 #: Time after a return of the store in which machines need not have caught up, s.
 STABLE_S = 3.0
+#: Time in which a version that all routers have is known to one that starts, s.
+KNOWN_TO_ALL_S = 0.5
 #: Time after a return in which an entry expires whose target is silent, s: three
 #: heartbeats, and two seconds in which targets register again.
 ENTRY_LIMIT_S = 3 * 1.2 + 2.0
@@ -295,6 +297,8 @@
         self.confirmed = {}
         self.gone = set()
         self.cuts = []
+        # Times, and the lowest version in force then at the routers that are not cut.
+        self.common = []
         self.violations = []
         for replica in edge.replicas.values():
             self.entries[replica.spec.id] = replica.registration()
@@ -348,6 +352,8 @@
         store.restore(self.rng.choice(self.copies))
         store.faults.mode = ""
         self.copies = []
+        if self.rng.random() < 0.5:
+            await self.join()
         if self.rng.random() < 0.5:
             await asyncio.sleep(self.rng.uniform(0.0, 0.5))
         self.write_again()
@@ -399,10 +405,14 @@
 
     def check(self):
         """Check what must hold at any moment, whatever the store has lost."""
+        self.common_version()
         for router in self.edge.routers:
             name, version = router.settings.name, router.routing.version
             if version < self.confirmed.get(name, -1):
                 self.violations.append(f"{name} went back to version {version}")
+            joins = version > -1 and self.confirmed.get(name, -1) < 0
+            if joins and router not in self.cuts and version < self.common_version():
+                self.violations.append(f"{name} joined with version {version}")
             self.confirmed[name] = version
             listed = states(router)
             for key, marks in self.known(name).items():
@@ -416,6 +426,20 @@
             for key in known.keys() | listed.keys():
                 known[key] = listed.get(key, "gone")
 
+    def common_version(self):
+        """Return the version that all others had a moment before, or a later one."""
+        versions = [
+            router.routing.version
+            for router in self.edge.routers
+            if router.is_ready and router not in self.cuts
+        ]
+        now_s = asyncio.get_running_loop().time()
+        if versions:
+            self.common.append((now_s, min(versions)))
+        while len(self.common) > 1 and self.common[1][0] < now_s - KNOWN_TO_ALL_S:
+            self.common.pop(0)
+        return self.common[0][1] if self.common else -1
+
     def known(self, name):
         return self.confirmed.setdefault(f"targets of {name}", {})
 
