Say in logs what the event loop of a router spends its time on

Callers of a flooded small router are refused for its lag, and no line told what made it lag: reading and refusing, dispatches, reports of peers or serving. The selector now measures the idle time, spans of work are measured by kind, and process.busy has the parts of each second in which the loop is busy for more than half. Nothing is decided by it.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -316,6 +316,9 @@
 LOG_LINES_PER_S = 400
 #: Interval at which queued log lines are written, ms.
 LOG_FLUSH_MS = 100
+#: Fraction of time in which the event loop is busy above which each interval of the
+#: accounts has a line on what it did.
+LOGGED_BUSY_FRACTION = 0.5
 #: Interval between log lines about customers whose calls were refused, ms; and how many
 #: customers of a service are named, those with most refused units first.
 ACCOUNTS_INTERVAL_MS = 1_000
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -12,6 +12,10 @@
 from snipedeal_direct.findings import TargetFindings
 from snipedeal_direct.journal import info
 from snipedeal_direct.load import TargetLoad
+from snipedeal_direct.meter import LoopMeter
+from snipedeal_direct.meter import UsageWindow
+from snipedeal_direct.meter import Work
+from snipedeal_direct.meter import usage_fields
 from snipedeal_direct.metrics import DirectMetrics
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import RouteTable
@@ -61,10 +65,15 @@
     """Own the queues of all services and dispatch their calls.
 
     :param settings: the router's settings.
+    :param meter: counts the time that dispatches take.
     """
 
     def __init__(
-        self, settings: DirectSettings, clock: Clock, metrics: DirectMetrics
+        self,
+        settings: DirectSettings,
+        clock: Clock,
+        metrics: DirectMetrics,
+        meter: LoopMeter | None = None,
     ) -> None:
         self.queues: dict[str, ServiceQueue] = {}
         self.shedder = LoadShedder(LoopLag(settings.max_lag_ms))
@@ -74,6 +83,8 @@
         self.live_routers: t.Callable[[], t.Collection[str]] = lambda: ()
         self.on_new_instance: t.Callable[[Target], None] = lambda target: None
         self._settings = settings
+        self._meter = meter or LoopMeter(clock)
+        self._usage = UsageWindow(self._meter)
         self._clock = clock
         self._metrics = metrics
         self.findings = TargetFindings()
@@ -410,6 +421,11 @@
         self._dispatch_delay_ms = dispatch_delay_ms(self._clock.now_ms() - started_ms)
 
     def _dispatch_queue(self, queue: ServiceQueue) -> None:
+        began = self._meter.begin()
+        self._assign(queue)
+        self._meter.end(Work.DISPATCH, began)
+
+    def _assign(self, queue: ServiceQueue) -> None:
         now_ms = self._clock.now_ms()
         for dispatched in queue.dispatch(now_ms):
             future = self._futures.get(dispatched.call)
@@ -449,6 +465,14 @@
 
     def _log_accounts(self, now_ms: float) -> None:
         """Log the customers that had calls refused since the last time."""
+        usage = self._usage.take()
+        if usage.busy is not None and usage.busy > defaults.LOGGED_BUSY_FRACTION:
+            info(
+                "process.busy",
+                **usage_fields(usage),
+                lag_ms=round(self.lag.ms),
+                waiting=sum(len(queue.waiting) for queue in self.queues.values()),
+            )
         for name, queue in self.queues.items():
             for customer, totals in queue.accounts.take():
                 info(
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import typing as t
 
 import attrs
@@ -19,6 +20,7 @@
 from snipedeal_direct.ingress import HOP_BY_HOP_HEADERS
 from snipedeal_direct.ingress import Exchange
 from snipedeal_direct.journal import info
+from snipedeal_direct.meter import Work
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import parse_prompt
 from snipedeal_direct.queueing import Dispatched
@@ -96,7 +98,8 @@
             return
         if call is None:
             return
-        task = asyncio.create_task(self._run(exchange, call))
+        start = functools.partial(self._run, exchange, call)
+        task = asyncio.create_task(self._router.meter.run(Work.SERVE, start))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         exchange.on_disconnect = task.cancel
@@ -530,7 +533,15 @@
         is_resumed = exchange.has_begun
         event_bytes = 0
 
+        meter = self._router.meter
+
         def forward_events(data: bytes) -> bool:
+            began = meter.begin()
+            is_drained = forward(data)
+            meter.end(Work.RELAY, began)
+            return is_drained
+
+        def forward(data: bytes) -> bool:
             nonlocal event_bytes
             events = splitter.feed(data)
             connection.retain(splitter.partial_bytes + exchange.unsent_bytes)
--- a/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
@@ -11,6 +11,8 @@
 from snipedeal.clock import Clock
 from snipedeal_direct import defaults
 from snipedeal_direct.journal import warning
+from snipedeal_direct.meter import LoopMeter
+from snipedeal_direct.meter import Work
 from snipedeal_direct.model import CallerLimits
 from snipedeal_direct.model import Headers
 
@@ -230,6 +232,13 @@
         """Feed received bytes to the parser and enforce the limits."""
         if self._is_closing:
             return
+        began = self._server.meter.begin()
+        try:
+            self._receive(data)
+        finally:
+            self._server.meter.end(Work.INTAKE, began)
+
+    def _receive(self, data: bytes) -> None:
         if not self._began_ms:
             # 0 means that no request has begun.
             self._began_ms = self._server.clock.now_ms() or 1
@@ -436,6 +445,7 @@
         invalid request.
     :param limits: returns the limits in force.
     :param max_connections: open connections above which idle ones are closed.
+    :param meter: counts the time that reading requests takes.
     """
 
     def __init__(
@@ -445,8 +455,10 @@
         on_bad_request: t.Callable[[int, str], None],
         limits: t.Callable[[], CallerLimits],
         max_connections: int,
+        meter: LoopMeter | None = None,
     ) -> None:
         self.max_connections = max_connections
+        self.meter = meter or LoopMeter(clock)
         self.clock = clock
         self.on_request = on_request
         self.on_bad_request = on_bad_request
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -35,6 +35,7 @@
 from snipedeal_direct.journal import warning
 from snipedeal_direct.load import LoadCounts
 from snipedeal_direct.load import TargetLoad
+from snipedeal_direct.meter import Work
 from snipedeal_direct.model import PromptPart
 from snipedeal_direct.model import Target
 from snipedeal_direct.queueing import Dispatched
@@ -193,6 +194,11 @@
         loop. A busy router receives more than that, so its view of the other
         routers would become stale.
         """
+        began = self._router.meter.begin()
+        self._read_pending()
+        self._router.meter.end(Work.REPORTS, began)
+
+    def _read_pending(self) -> None:
         assert self._socket is not None
         for _ in range(defaults.PEER_READ_LIMIT):
             try:
@@ -347,7 +353,9 @@
                 for peer in self._peers.values()
                 if peer.heard_ms and peer.is_store_reachable
             )
+            began = self._router.meter.begin()
             self.broadcast(self._collect_reports(now_ms), is_heartbeat=True)
+            self._router.meter.end(Work.REPORTS, began)
 
     def forward_records(self, report: RecordsReport) -> None:
         """Send records that were read from the store to all peers at once."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -26,6 +26,7 @@
 from snipedeal_direct.journal import LogWriter
 from snipedeal_direct.journal import info
 from snipedeal_direct.journal import warning
+from snipedeal_direct.meter import LoopMeter
 from snipedeal_direct.metrics import DirectMetrics
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import CallerLimits
@@ -49,17 +50,24 @@
     """Own all components of a router that forwards requests directly to targets.
 
     :param settings: validated settings.
+    :param meter: measures the event loop that the router runs in.
     """
 
-    def __init__(self, settings: DirectSettings, log_writer: LogWriter) -> None:
+    def __init__(
+        self,
+        settings: DirectSettings,
+        log_writer: LogWriter,
+        meter: LoopMeter | None = None,
+    ) -> None:
         self.settings = settings
+        self.meter = meter or LoopMeter()
         self.clock = Clock()
         self.metrics = DirectMetrics()
         self.routing = Routing()
         self.pool = Pool(
             self.clock.monotonic, lambda address: self.metrics.connects.inc()
         )
-        self.dispatcher = Dispatcher(settings, self.clock, self.metrics)
+        self.dispatcher = Dispatcher(settings, self.clock, self.metrics, self.meter)
         self.dispatcher.on_new_instance = self._on_new_instance
         self.feed_tracker = FeedTracker(settings.name, self.clock.now_ms)
         self.is_store_unreachable = True
@@ -89,6 +97,7 @@
             self._on_bad_request,
             self._caller_limits,
             int(settings.max_descriptors * defaults.CALLER_DESCRIPTOR_FRACTION),
+            self.meter,
         )
         self._internal_servers = [
             IngressServer(
--- a/packages/snipedeal-direct/src/snipedeal_direct/serve.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/serve.py
@@ -10,6 +10,8 @@
 from snipedeal.settings import load_settings
 from snipedeal_direct.journal import LogWriter
 from snipedeal_direct.journal import warning
+from snipedeal_direct.meter import LoopMeter
+from snipedeal_direct.meter import make_event_loop
 from snipedeal_direct.router import DirectRouter
 from snipedeal_direct.router import reload
 from snipedeal_direct.settings import DirectSettings
@@ -26,16 +28,18 @@
     """
     try:
         settings = load_settings(path, DirectSettings)
-        return asyncio.run(_serve(settings, path))
+        meter = LoopMeter()
+        with asyncio.Runner(loop_factory=lambda: make_event_loop(meter)) as runner:
+            return runner.run(_serve(settings, path, meter))
     except SettingsError as error:
         print(error.message, file=sys.stderr)
         return EXIT_INPUT
 
 
-async def _serve(settings: DirectSettings, path: str) -> int:
+async def _serve(settings: DirectSettings, path: str, meter: LoopMeter) -> int:
     log_writer = LogWriter(settings.name, LEVELS[settings.log_level], Clock())
     log_writer.start()
-    router = DirectRouter(settings, log_writer)
+    router = DirectRouter(settings, log_writer, meter)
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
