--- a/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
+++ b/packages/snipedeal-standins/src/snipedeal_standins/edge_demo.py
@@ -56,11 +56,14 @@
 
     :param store: ``host:port`` of the metadata store.
     :param directory: where the settings and the log of the router are written.
+    :param lag_limit_ms: its ``max_lag_ms``, ``None`` for the default. Most uses
+        tolerate event-loop lag, because the machine may run other work.
     """
 
     name: str
     store: str
     directory: pathlib.Path
+    lag_limit_ms: float | None = 2_000
     listen: int = attrs.Factory(free_port)
     ready: int = attrs.Factory(free_port)
     metrics: int = attrs.Factory(free_port)
@@ -69,7 +72,7 @@
 
     def settings(self) -> dict[str, t.Any]:
         """Return the content of the router's settings file."""
-        return {
+        settings = {
             "name": self.name,
             "zone": "zone-a",
             "listen": f"127.0.0.1:{self.listen}",
@@ -83,9 +86,10 @@
                 "retry_window_s": 10,
                 "retry_slack": 50,
             },
-            # Tolerates event-loop lag, because the machine may run other work.
-            "max_lag_ms": 2_000,
         }
+        if self.lag_limit_ms is not None:
+            settings["max_lag_ms"] = self.lag_limit_ms
+        return settings
 
     async def start(self) -> None:
         """Start the process and wait until the router is ready."""
