Bound the time that dispatches of a standing queue take

While calls wait, each tick cleared the mark of a pending dispatch, so that events armed another timer beside it: 76 dispatches in 500 ms of a queue whose cost allows one in 20 ms (tests/test_overload.py, a trial; now at most 30).

One timer is pending at most, ticks keep the interval that the cost sets, calls that are too late are looked for once in a tick, the state of targets is read once for all calls of a dispatch, and a customer and tier for which no target has room is looked at once.

--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -95,8 +95,11 @@
         self._futures: dict[Call, asyncio.Future[Dispatched]] = {}
         # Units that all targets serve in a share window; zero if unknown.
         self._capacity = 0.0
-        self._is_scheduled = False
+        self._dispatch_timer: asyncio.TimerHandle | None = None
         self._dispatch_delay_ms = float(defaults.DISPATCH_DELAY_MS)
+        # When calls that are too late were last looked for, by service.
+        self._expired_ms: dict[str, float] = {}
+        self._dispatched_ms = 0.0
         self._shares_updated_ms = 0.0
         self._limits_updated_ms = 0.0
         self._accounts_logged_ms = 0.0
@@ -113,8 +116,9 @@
 
     async def close(self) -> None:
         """Stop the periodic dispatch."""
-        if self._task is not None:
-            self._task.cancel()
+        for pending in (self._task, self._dispatch_timer):
+            if pending is not None:
+                pending.cancel()
 
     # -- configuration and targets -----------------------------------------------
 
@@ -397,10 +401,11 @@
 
     def schedule(self) -> None:
         """Schedule a dispatch of all queues, unless one is pending or no call waits."""
-        if not self._is_scheduled and self._futures:
-            self._is_scheduled = True
+        if self._dispatch_timer is None and self._futures:
             loop = asyncio.get_running_loop()
-            loop.call_later(self._dispatch_delay_ms / 1000, self._dispatch_all)
+            self._dispatch_timer = loop.call_later(
+                self._dispatch_delay_ms / 1000, self._dispatch_all
+            )
 
     # -- internals -----------------------------------------------------------------
 
@@ -413,12 +418,15 @@
         return queue
 
     def _dispatch_all(self) -> None:
-        self._is_scheduled = False
+        if self._dispatch_timer is not None:
+            self._dispatch_timer.cancel()
+            self._dispatch_timer = None
         started_ms = self._clock.now_ms()
         for queue in self.queues.values():
             if queue.waiting:
                 self._dispatch_queue(queue)
-        self._dispatch_delay_ms = dispatch_delay_ms(self._clock.now_ms() - started_ms)
+        self._dispatched_ms = self._clock.now_ms()
+        self._dispatch_delay_ms = dispatch_delay_ms(self._dispatched_ms - started_ms)
 
     def _dispatch_queue(self, queue: ServiceQueue) -> None:
         began = self._meter.begin()
@@ -436,6 +444,12 @@
                 queue.accounts.note_sent(dispatched.call)
                 self.on_sent(dispatched)
                 future.set_result(dispatched)
+        if (
+            now_ms - self._expired_ms.get(queue.service, 0.0)
+            < defaults.DISPATCH_TICK_MS
+        ):
+            return
+        self._expired_ms[queue.service] = now_ms
         for call, refusal in queue.expire(now_ms):
             future = self._futures.get(call)
             if future is not None and not future.done():
@@ -461,7 +475,8 @@
             if now_ms - self._accounts_logged_ms >= defaults.ACCOUNTS_INTERVAL_MS:
                 self._accounts_logged_ms = now_ms
                 self._log_accounts(now_ms)
-            self._dispatch_all()
+            if now_ms - self._dispatched_ms >= self._dispatch_delay_ms:
+                self._dispatch_all()
 
     def _log_accounts(self, now_ms: float) -> None:
         """Log the customers that had calls refused since the last time."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/load.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/load.py
@@ -56,12 +56,20 @@
 
         A part counts as cached only if all parts before it are cached too.
         """
+        return max(0, prompt.tokens - self.cached_prefix(prompt.parts)[0])
+
+    def cached_prefix(self, parts: t.Iterable[PromptPart]) -> tuple[int, bool]:
+        """Return the cached tokens of leading parts, and whether all are cached."""
         cached = 0
-        for part in prompt.parts:
+        for part in parts:
             if part.id not in self._parts:
-                break
+                return cached, False
             cached += part.tokens
-        return max(0, prompt.tokens - cached)
+        return cached, True
+
+    def has(self, part_id: str) -> bool:
+        """Return whether a part is cached."""
+        return part_id in self._parts
 
     def add(self, part_id: str, tokens: int) -> None:
         """Add a part, or mark it as the most recently used."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/model.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/model.py
@@ -176,11 +176,17 @@
     :param parts: parts in order; the last one is specific to the request.
     :param tokens: length of the whole prompt.
     :param output_tokens: expected length of the output, tokens.
+    :param shared_ids: IDs of all parts but the last.
     """
 
     parts: tuple[PromptPart, ...]
     tokens: int
     output_tokens: int
+    shared_ids: tuple[str, ...] = attrs.field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        ids = tuple(part.id for part in self.parts[:-1])
+        object.__setattr__(self, "shared_ids", ids)
 
     @property
     def units(self) -> float:
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -102,6 +102,51 @@
     count: int
 
 
+@attrs.define(eq=False)
+class _TargetView:
+    """A usable target in one dispatch; computed once for all calls that are looked at.
+
+    :param fraction: fraction of the target's usual capacity to use.
+    :param slots: requests that the target runs at once.
+    """
+
+    load: TargetLoad
+    fraction: float
+    slots: int
+    busy_ms: float = 0.0
+    running: int = 0
+    prefill_tokens: float = 0.0
+    # Cached tokens of the parts that prompts share, and whether all are cached.
+    _shared: dict[tuple[str, ...], tuple[int, bool]] = attrs.Factory(dict)
+
+    def update(self) -> None:
+        """Read the target's load again after a call was assigned to it."""
+        self.busy_ms = self.load.busy_ms
+        self.running = self.load.running
+        self.prefill_tokens = self.load.prefill_tokens
+        self._shared.clear()
+
+    def uncached_tokens(self, prompt: Prompt) -> int:
+        """Return the tokens of a prompt that the target has not cached."""
+        cache = self.load.cache
+        found = self._shared.get(prompt.shared_ids)
+        if found is None:
+            found = self._shared[prompt.shared_ids] = cache.cached_prefix(
+                prompt.parts[:-1]
+            )
+        cached, has_all = found
+        if has_all and prompt.parts and cache.has(prompt.parts[-1].id):
+            cached += prompt.parts[-1].tokens
+        return max(0, prompt.tokens - cached)
+
+
+def _make_view(load: TargetLoad, now_ms: float) -> _TargetView:
+    slots = load.engine.slots if load.engine else load.target.slots
+    view = _TargetView(load, load.capacity_fraction(now_ms), slots)
+    view.update()
+    return view
+
+
 @attrs.define
 class ServiceQueue:
     """The queued calls of one service, and its targets.
@@ -308,15 +353,30 @@
         self._deferral_stage = None
         ordered = sorted(self.waiting, key=lambda item: self._sort_key(item, now_ms))
         kept = ordered[defaults.DISPATCH_LOOK_AHEAD :]
-        busy = {load: load.busy_ms for load in usable}
+        views = [_make_view(load, now_ms) for load in usable]
+        # Customers and tiers for which no target has room. Nothing becomes free during
+        # a dispatch, so that their other calls need no look.
+        blocked: set[tuple[str, Tier]] = set()
         for item in ordered[: defaults.DISPATCH_LOOK_AHEAD]:
-            load = self._choose(item.call, busy, now_ms)
-            if load is None:
+            call = item.call
+            group = (call.customer, self._tier(call))
+            if call.prompt is not None and group in blocked:
+                kept.append(item)
+                continue
+            view = self._choose(call, views, now_ms)
+            if (
+                view is None
+                and call.prompt is not None
+                and not self._has_room(call, views, now_ms)
+            ):
+                blocked.add(group)
+            if view is None:
                 kept.append(item)
                 continue
+            load = view.load
             # Recorded at once, so that the next assignment takes it into account.
             chosen.append(Dispatched(item.call, load, load.begin(item.call, now_ms)))
-            busy[load] = load.busy_ms
+            view.update()
             self.shares.note_served(item.call.customer, item.call.units, now_ms)
         self.waiting = kept
         if chosen:
@@ -328,8 +388,9 @@
         refused = []
         kept = []
         pause_ms = self._pause_wait_ms(now_ms)
+        has_targets = self._has_targets
         for item in self.waiting:
-            refusal = self._refuse_queued(item, pause_ms, now_ms)
+            refusal = self._refuse_queued(item, has_targets, pause_ms, now_ms)
             if refusal is None:
                 kept.append(item)
             else:
@@ -376,8 +437,8 @@
     # -- target selection --------------------------------------------------------
 
     def _choose(
-        self, call: Call, busy: t.Mapping[TargetLoad, float], now_ms: float
-    ) -> TargetLoad | None:
+        self, call: Call, views: t.Sequence[_TargetView], now_ms: float
+    ) -> _TargetView | None:
         """Return the target to send a call to, ``None`` if it should wait.
 
         Targets are compared by expected wait and prefill time. Uncached tokens weigh
@@ -386,32 +447,47 @@
         next dispatch. If its rate limit does not allow the call yet, a long prompt
         waits as long as it can be in time; others go to another target.
 
-        :param busy: usable targets and the :attr:`TargetLoad.busy_ms` of each.
+        :param views: the usable targets.
         """
-        loads = [
-            load
-            for load in busy
-            if load.target.id not in call.tried
-            and (load.limit is None or load.limit.rate > 0)
+        open_views = [
+            view
+            for view in views
+            if view.load.target.id not in call.tried
+            and (view.load.limit is None or view.load.limit.rate > 0)
         ]
-        if not loads:
+        if not open_views:
             return None
         if call.prompt is None:
-            admitting = [load for load in loads if not load.limit_wait_ms(now_ms)]
+            admitting = [
+                view for view in open_views if not view.load.limit_wait_ms(now_ms)
+            ]
             return self._choose_least_loaded(call, admitting, now_ms)
         prompt, affinity = call.prompt, call.prompt.affinity
-        reserve = self._limit_reserve(prompt, loads)
-        unlimited_cost_ms = self._unlimited_cost_ms(prompt, loads)
+        has_capacity = self._engine_check(call, now_ms)
+        if all(view.load.limit is None for view in open_views):
+            reserve = unlimited_cost_ms = 0.0
+        else:
+            loads = [view.load for view in open_views]
+            reserve = self._limit_reserve(prompt, loads)
+            unlimited_cost_ms = self._unlimited_cost_ms(prompt, loads)
+
+        def is_open(view: _TargetView) -> bool:
+            return not view.load.limit_wait_ms(now_ms, reserve) and has_capacity(view)
 
-        def score(load: TargetLoad) -> float:
+        # Cheaper than the scores, and the usual case with many calls in the queue.
+        if not any(map(is_open, open_views)):
+            return None
+
+        def score(view: _TargetView) -> float:
             """Return the cost of a target, ms; lower is better."""
+            load = view.load
             weighted_tokens = (
-                load.cache.uncached_tokens(prompt) * defaults.UNCACHED_TOKEN_WEIGHT
+                view.uncached_tokens(prompt) * defaults.UNCACHED_TOKEN_WEIGHT
             )
             # Rendezvous hashing: all routers prefer the same target for a prompt part.
             weight = _rendezvous_weight(affinity, load.target.id)
             return (
-                busy[load]
+                view.busy_ms
                 + weighted_tokens / load.prefill_rate
                 + weight * defaults.AFFINITY_WEIGHT_MS
                 + (
@@ -421,22 +497,14 @@
                 )
             )
 
-        has_capacity = self._engine_check(call, now_ms)
-
-        def is_open(load: TargetLoad) -> bool:
-            return not load.limit_wait_ms(now_ms, reserve) and has_capacity(load)
-
-        # Cheaper than the scores, and the usual case with many calls in the queue.
-        if not any(map(is_open, loads)):
-            return None
-        best = min(loads, key=score)
-        wait_ms = best.limit_wait_ms(now_ms, reserve)
+        best = min(open_views, key=score)
+        wait_ms = best.load.limit_wait_ms(now_ms, reserve)
         if not wait_ms:
             return best if is_open(best) else None
-        start_ms = now_ms + wait_ms + best.expected_first_event_ms(call)
+        start_ms = now_ms + wait_ms + best.load.expected_first_event_ms(call)
         if not reserve and start_ms <= call.latency_deadline_ms:
             return None
-        return min(filter(is_open, loads), key=score, default=None)
+        return min(filter(is_open, open_views), key=score, default=None)
 
     def _unlimited_cost_ms(
         self, prompt: Prompt, loads: t.Sequence[TargetLoad]
@@ -483,13 +551,21 @@
         shortfall = self.shares.shortfall(call.customer)
         return 1.0 + defaults.SHORTFALL_HEADROOM * shortfall
 
+    def _has_room(
+        self, call: Call, views: t.Iterable[_TargetView], now_ms: float
+    ) -> bool:
+        """Return whether a target has room for any call like this one."""
+        return any(map(self._engine_check(call, now_ms, is_any_size=True), views))
+
     def _engine_check(
-        self, call: Call, now_ms: float
-    ) -> t.Callable[[TargetLoad], bool]:
+        self, call: Call, now_ms: float, *, is_any_size: bool = False
+    ) -> t.Callable[[_TargetView], bool]:
         """Return a check whether slots, pending prefill and memory allow a call.
 
         Higher tiers may fill a smaller fraction of a target's usual limits, so that
         capacity remains for calls of lower tiers that may arrive next.
+
+        :param is_any_size: leave the length of the call's own prompt out.
         """
         tier = self._tier(call)
         usable = self._headroom(call) * defaults.TIER_CAPACITY_FRACTIONS[tier]
@@ -497,36 +573,39 @@
         is_deferred = is_beyond and self._is_deferred(call, now_ms)
         tokens = call.prompt.tokens + call.prompt.output_tokens if call.prompt else 0
 
-        def has_capacity(load: TargetLoad) -> bool:
-            engine = load.engine
-            fraction = load.capacity_fraction(now_ms) * usable
+        def has_capacity(view: _TargetView) -> bool:
+            fraction = view.fraction * usable
             if fraction <= 0:
                 return False
-            slots = engine.slots if engine else load.target.slots
-            running = load.running
-            if running >= max(1.0, slots * defaults.SLOT_FRACTION * fraction):
+            running = view.running
+            if running >= max(1.0, view.slots * defaults.SLOT_FRACTION * fraction):
                 return False
             if running == 0:
                 return True
-            pending_tokens = load.prefill_tokens
+            load = view.load
+            pending_tokens = view.prefill_tokens
             # Pending prefill counts as all slots in use: the engine is not idle.
-            used = running / slots if pending_tokens <= 0 else 1.0
+            used = running / view.slots if pending_tokens <= 0 else 1.0
             if is_beyond and used >= defaults.IDLE_SLOT_FRACTION:
                 if is_deferred and used >= defaults.DEFERRAL_SLOT_FRACTION:
                     return False
-                # The call's own prefill would delay the next call as well.
-                pending_tokens += load.uncached_tokens(call)
+                if not is_any_size:
+                    # The call's own prefill would delay the next call as well.
+                    pending_tokens += load.uncached_tokens(call)
             backlog_ms = defaults.ENGINE_BACKLOG_MS * fraction
             if pending_tokens > backlog_ms * load.prefill_rate:
                 return False
+            if is_any_size:
+                return True
+            engine = load.engine
             memory = engine.memory_tokens * defaults.MEMORY_FRACTION if engine else 0.0
             return not memory or load.reserved_tokens + tokens <= memory
 
         return has_capacity
 
     def _choose_least_loaded(
-        self, call: Call, loads: t.Sequence[TargetLoad], now_ms: float
-    ) -> TargetLoad | None:
+        self, call: Call, views: t.Sequence[_TargetView], now_ms: float
+    ) -> _TargetView | None:
         """Return the least loaded target with a free slot, for a call without prompt.
 
         A target's share of failed answers is added to its load. Among targets whose
@@ -534,17 +613,18 @@
         """
         headroom = self._headroom(call)
 
-        def is_free(load: TargetLoad) -> bool:
-            limit = load.target.slots * defaults.PLAIN_REQUESTS_PER_SLOT
-            limit *= load.capacity_fraction(now_ms)
+        def is_free(view: _TargetView) -> bool:
+            limit = view.load.target.slots * defaults.PLAIN_REQUESTS_PER_SLOT
+            limit *= view.fraction
             # Part of a slot is no headroom: the target would queue the call.
-            return load.running < max(1.0, limit, math.floor(limit * headroom))
+            return view.running < max(1.0, limit, math.floor(limit * headroom))
 
-        free = [load for load in loads if is_free(load)]
+        free = [view for view in views if is_free(view)]
         if not free:
             return None
 
-        def score(load: TargetLoad) -> tuple[float, bool, int]:
+        def score(view: _TargetView) -> tuple[float, bool, int]:
+            load = view.load
             used = load.running / max(1, load.target.slots)
             failing = load.health.failure_share(now_ms)
             # The hash keeps routers with the same view from all choosing one target.
@@ -558,9 +638,8 @@
     def _refuse_on_arrival(self, item: QueuedCall, now_ms: float) -> Refusal | None:
         call = item.call
         outlook = self._find_outlook(now_ms)
-        refusal = None if outlook.usable else self._refuse_without_target(call)
-        if refusal is not None:
-            return refusal
+        if not outlook.usable and not self._has_targets:
+            return self._no_targets(call)
         if len(self.waiting) >= defaults.QUEUE_LIMIT:
             return Refusal(503, "queue_full", self._retry_after(call, 0.0))
         pause_ms = 0.0 if outlook.usable else self._pause_wait_ms(now_ms)
@@ -568,21 +647,22 @@
         return self._refuse_if_too_late(item, wait_ms, pause_ms, now_ms)
 
     def _refuse_queued(
-        self, item: QueuedCall, pause_ms: float, now_ms: float
+        self, item: QueuedCall, has_targets: bool, pause_ms: float, now_ms: float
     ) -> Refusal | None:
         call = item.call
-        refusal = self._refuse_without_target(call)
-        if refusal is not None:
-            return refusal
+        if not has_targets:
+            return self._no_targets(call)
         if now_ms >= call.deadline_ms - defaults.FINAL_ANSWER_RESERVE_MS:
             return Refusal(503, "deadline", self._retry_after(call, 0.0))
         return self._refuse_if_too_late(item, pause_ms, pause_ms, now_ms)
 
-    def _refuse_without_target(self, call: Call) -> Refusal | None:
-        """Refuse a call if all targets leave."""
-        if all(load.is_leaving for load in self.targets.values()):
-            return Refusal(503, "no_targets", self._retry_after(call, 0.0))
-        return None
+    @property
+    def _has_targets(self) -> bool:
+        """Whether there is a target that does not leave."""
+        return not all(load.is_leaving for load in self.targets.values())
+
+    def _no_targets(self, call: Call) -> Refusal:
+        return Refusal(503, "no_targets", self._retry_after(call, 0.0))
 
     def _pause_wait_ms(self, now_ms: float) -> float:
         """Return the time until a target wants requests again, if none does now."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -137,3 +137,36 @@
     assert float(answer.headers["retry-after"]) > 0
     assert again.status == 200
     assert runs == ["c2"]
+
+
+def test_standing_queue_is_dispatched_no_more_often_than_its_cost_allows(monkeypatch):
+    dispatches = []
+
+    async def scenario():
+        dispatcher = make_router("router-0", "127.0.0.1:1").dispatcher
+        dispatcher.apply_target("t0", Target("t0", "s", "h", 1, "z", 64))
+        dispatcher.queues["s"].targets["t0"].own.running = 64
+        dispatch_all = dispatcher._dispatch_all
+        monkeypatch.setattr(
+            dispatcher, "_dispatch_all", lambda: (dispatches.append(1), dispatch_all())
+        )
+        dispatcher._dispatch_delay_ms = defaults.DISPATCH_TICK_MS
+        monkeypatch.setattr(
+            "snipedeal_direct.dispatching.dispatch_delay_ms",
+            lambda dispatch_ms: defaults.DISPATCH_TICK_MS,
+        )
+        calls = [make_call(n, dispatcher._clock.now_ms()) for n in range(20)]
+        tasks = [asyncio.create_task(dispatcher.acquire_target(c)) for c in calls]
+        dispatcher.start()
+        for _ in range(250):
+            await asyncio.sleep(0.002)
+            # An event at a target, such as the end of a call.
+            dispatcher.schedule()
+        await dispatcher.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(scenario())
+    # 500 ms, one dispatch in each tick.
+    assert len(dispatches) <= 1.2 * 500 / defaults.DISPATCH_TICK_MS
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -417,3 +417,45 @@
         "paused": 1,
         "full": 1,
     }
+
+
+def waiting_calls(queue, *calls):
+    for call in calls:
+        assert queue.add(call, 0.0) is None
+
+
+def test_call_that_has_tried_the_free_target_holds_up_no_other():
+    queue = make_queue(targets=2)
+    queue.targets["t1"].own.running = ENGINE.slots
+    first, second = make_call(1, 0.0), make_call(2, 0.0)
+    first.tried.add("t0")
+    waiting_calls(queue, first, second)
+    assert [d.call for d in queue.dispatch(0.0)] == [second]
+
+
+def test_call_that_does_not_fit_in_memory_holds_up_no_smaller_one():
+    queue = make_queue(targets=1)
+    load = queue.targets["t0"]
+    load.own.running = 1
+    load.own.reserved_tokens = ENGINE.memory_tokens * defaults.MEMORY_FRACTION - 2_000
+    large, small = make_call(1, 0.0, tokens=4_000), make_call(2, 0.0, tokens=1_000)
+    waiting_calls(queue, large, small)
+    assert [d.call for d in queue.dispatch(0.0)] == [small]
+
+
+def test_full_targets_are_looked_at_once_for_a_customer(monkeypatch):
+    queue = make_queue(targets=2)
+    # Room that only a customer that is behind may use.
+    for load in queue.targets.values():
+        load.own.running = int(ENGINE.slots * defaults.SLOT_FRACTION) + 1
+    waiting_calls(queue, *(make_call(n, 0.0) for n in range(20)))
+    looks = []
+    choose = ServiceQueue._choose
+
+    def counting_choose(queue, call, views, now_ms):
+        looks.append(call)
+        return choose(queue, call, views, now_ms)
+
+    monkeypatch.setattr(ServiceQueue, "_choose", counting_choose)
+    assert not queue.dispatch(0.0)
+    assert len(looks) == 1
