Apply a report by its type, without an object for each load

A report of a target's load passed three type checks and two match cases, read the clock, made an object and added and subtracted six numbers by calls. It is now applied by the method for its type, with the time at which its datagram was read, and the known load is changed in place by the difference.

--- a/packages/snipedeal-direct/src/snipedeal_direct/load.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/load.py
@@ -17,6 +17,9 @@
 from snipedeal_direct.model import Target
 from snipedeal_direct.model import TargetState
 
+if t.TYPE_CHECKING:
+    from snipedeal_direct.gossip import TargetReport
+
 
 @attrs.define
 class LoadCounts:
@@ -33,12 +36,6 @@
     running: int = 0
     reserved_tokens: float = 0.0
 
-    def add(self, other: "LoadCounts", sign: int) -> None:
-        """Add another load, or subtract it with a ``sign`` of -1."""
-        self.prefill_tokens += sign * other.prefill_tokens
-        self.running += sign * other.running
-        self.reserved_tokens += sign * other.reserved_tokens
-
 
 @attrs.define
 class PrefixCache:
@@ -214,19 +211,27 @@
             return self.prefill_rate
         return min(self.prefill_rate, self.limit.limit / 1000 * self._mean_tokens)
 
-    def set_peer(self, name: str, counts: LoadCounts) -> None:
+    def set_peer(self, name: str, counts: "LoadCounts | TargetReport") -> None:
         """Replace the load reported by a peer."""
-        self._peer_total.add(counts, 1)
-        before = self._peers.get(name)
-        if before is not None:
-            self._peer_total.add(before, -1)
-        self._peers[name] = counts
+        known = self._peers.get(name)
+        if known is None:
+            known = self._peers[name] = LoadCounts()
+        total = self._peer_total
+        prefill_tokens = counts.prefill_tokens
+        total.prefill_tokens += prefill_tokens - known.prefill_tokens
+        known.prefill_tokens = prefill_tokens
+        running = counts.running
+        total.running += running - known.running
+        known.running = running
+        reserved_tokens = counts.reserved_tokens
+        total.reserved_tokens += reserved_tokens - known.reserved_tokens
+        known.reserved_tokens = reserved_tokens
 
     def drop_peer(self, name: str) -> None:
         """Discard the load reported by a peer."""
-        before = self._peers.pop(name, None)
-        if before is not None:
-            self._peer_total.add(before, -1)
+        if name in self._peers:
+            self.set_peer(name, LoadCounts())
+            del self._peers[name]
 
     def uncached_tokens(self, call: Call) -> float:
         """Return the prompt tokens of a call that the target has not cached."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -33,7 +33,6 @@
 from snipedeal_direct.journal import debug
 from snipedeal_direct.journal import info
 from snipedeal_direct.journal import warning
-from snipedeal_direct.load import LoadCounts
 from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.meter import Work
 from snipedeal_direct.model import PromptPart
@@ -110,6 +109,17 @@
         self._leaving_services: dict[str, str] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._fetch_task: asyncio.Task[None] | None = None
+        # Called with the peer and its report, by the type of the report.
+        self._appliers: dict[type[Report], t.Callable[[Peer, t.Any], None]] = {
+            TargetReport: self._apply_target,
+            QueueReport: self._apply_queue,
+            CustomerReport: self._apply_customer,
+            PartsReport: self._apply_parts,
+            RecordsReport: self._apply_records,
+            CrashReport: self._apply_crash,
+            LimitReport: self._apply_limit,
+            LeavingReport: self._apply_leaving,
+        }
 
     @property
     def live_count(self) -> int:
@@ -239,7 +249,7 @@
         )
         for report in gossip.reports:
             try:
-                self._apply_report(gossip.sender, report)
+                self._appliers[type(report)](peer, report)
             except DECODING_ERRORS as error:
                 self._note_unreadable(str(error)[:200], address, len(data))
 
@@ -276,51 +286,56 @@
         host, port = address
         warning("peer.unreadable", peer=f"{host}:{port}", error=reason, size=size)
 
-    def _apply_report(self, sender: str, report: Report) -> None:
-        if isinstance(report, RecordsReport):
-            self._router.apply_records(report, sender)
-            return
-        if isinstance(report, CrashReport):
-            self._router.crashes.apply(report)
-            return
-        if isinstance(report, LeavingReport):
-            # Also of a target that this router does not know yet.
-            self._leaving_services[report.instance] = report.service
-            seen_ms = self._clock.now_ms() - report.age_ms
-            self._router.dispatcher.apply_peer_leaving(
-                report.instance, report.service, seen_ms, sender
+    def _apply_records(self, peer: Peer, report: RecordsReport) -> None:
+        self._router.apply_records(report, peer.name)
+
+    def _apply_crash(self, _: Peer, report: CrashReport) -> None:
+        self._router.crashes.apply(report)
+
+    def _apply_leaving(self, peer: Peer, report: LeavingReport) -> None:
+        # Also of a target that this router does not know yet.
+        self._leaving_services[report.instance] = report.service
+        self._router.dispatcher.apply_peer_leaving(
+            report.instance, report.service, peer.heard_ms - report.age_ms, peer.name
+        )
+
+    def _apply_target(self, peer: Peer, report: TargetReport) -> None:
+        queue = self._router.dispatcher.queues.get(report.service)
+        if queue is not None:
+            load = queue.targets.get(report.target)
+            if load is not None:
+                load.set_peer(peer.name, report)
+
+    def _apply_queue(self, peer: Peer, report: QueueReport) -> None:
+        queue = self._router.dispatcher.queues.get(report.service)
+        if queue is not None:
+            queue.peers_queued_tokens[peer.name] = list(report.queued_tokens)
+            queue.peers_underserved_stage[peer.name] = report.underserved_stage
+
+    def _apply_customer(self, peer: Peer, report: CustomerReport) -> None:
+        queue = self._router.dispatcher.queues.get(report.service)
+        if queue is not None:
+            queue.shares.note_peer(
+                peer.name, report.customer, report.demand, report.served, peer.heard_ms
             )
-            return
+
+    def _apply_limit(self, peer: Peer, report: LimitReport) -> None:
+        load = self._find_load(report)
+        if load is not None and load.target.started_ms == report.started_ms:
+            seen_ms = peer.heard_ms - report.age_ms
+            self._router.dispatcher.apply_peer_limit(
+                load, report.limit, seen_ms, peer.name
+            )
+
+    def _apply_parts(self, peer: Peer, report: PartsReport) -> None:
+        load = self._find_load(report)
+        if load is not None:
+            load.note_parts(PromptPart(*part) for part in report.parts)
+
+    def _find_load(self, report: LimitReport | PartsReport) -> TargetLoad | None:
+        """Return the load of the target of a report, ``None`` if it is not known."""
         queue = self._router.dispatcher.queues.get(report.service)
-        if queue is None:
-            return
-        now_ms = self._clock.now_ms()
-        match report:
-            case TargetReport():
-                load = queue.targets.get(report.target)
-                if load is not None:
-                    counts = LoadCounts(
-                        report.prefill_tokens, report.running, report.reserved_tokens
-                    )
-                    load.set_peer(sender, counts)
-            case QueueReport():
-                queue.peers_queued_tokens[sender] = list(report.queued_tokens)
-                queue.peers_underserved_stage[sender] = report.underserved_stage
-            case CustomerReport():
-                queue.shares.note_peer(
-                    sender, report.customer, report.demand, report.served, now_ms
-                )
-            case LimitReport():
-                load = queue.targets.get(report.target)
-                if load is not None and load.target.started_ms == report.started_ms:
-                    seen_ms = now_ms - report.age_ms
-                    self._router.dispatcher.apply_peer_limit(
-                        load, report.limit, seen_ms, sender
-                    )
-            case PartsReport():
-                load = queue.targets.get(report.target)
-                if load is not None:
-                    load.note_parts(PromptPart(*part) for part in report.parts)
+        return None if queue is None else queue.targets.get(report.target)
 
     def _drop_peer_state(self, name: str) -> None:
         for queue in self._router.dispatcher.queues.values():
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -279,3 +279,15 @@
     assert (load.prefill_tokens, load.running, load.reserved_tokens) == (4, 5, 6)
     unreadable = router.metrics.odd_entries.labels("datagrams")
     assert unreadable._value.get() == 1
+
+
+def test_load_that_a_peer_reported_does_not_follow_the_object_it_came_in(monkeypatch):
+    router = make_receiver(monkeypatch, [10_000])
+    load = router.dispatcher.queues["desk"].targets["desk-t0"]
+    counts = type(load.own)(1.0, 2, 3.0)
+    load.set_peer("router-a", counts)
+    counts.running = 9
+    load.set_peer("router-a", type(load.own)(1.0, 4, 3.0))
+    assert load.running == 4
+    load.drop_peer("router-a")
+    assert (load.prefill_tokens, load.running, load.reserved_tokens) == (0, 0, 0)
