Add reported prompt parts to a cache estimate without an object for each

Each part of a report was made an object and added by a call of its own, only to be read once. The pairs of a report are now added in one loop; a router's own calls are noted as before.

--- a/packages/snipedeal-direct/src/snipedeal_direct/load.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/load.py
@@ -74,6 +74,15 @@
         self._parts[part_id] = tokens
         self._size += tokens - before
 
+    def add_all(self, parts: t.Iterable[tuple[str, int]]) -> None:
+        """Add parts, given as identifier and tokens, as :meth:`add` does."""
+        cached = self._parts
+        size = self._size
+        for part_id, tokens in parts:
+            size += tokens - cached.pop(part_id, 0)
+            cached[part_id] = tokens
+        self._size = size
+
     def shrink(self, capacity: float) -> None:
         """Evict the least recently used parts until the rest fits.
 
@@ -265,6 +274,14 @@
         """Add prompt parts to the cache estimate after a router sent them."""
         for part in parts:
             self.cache.add(part.id, part.tokens)
+        self._shrink_cache()
+
+    def note_reported_parts(self, parts: t.Iterable[tuple[str, int]]) -> None:
+        """Do as :meth:`note_parts`, for pairs of identifier and tokens."""
+        self.cache.add_all(parts)
+        self._shrink_cache()
+
+    def _shrink_cache(self) -> None:
         if self.engine is not None:
             # Running requests need no deduction from the capacity: their parts are
             # the most recently used ones, and so are included in it.
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -35,7 +35,6 @@
 from snipedeal_direct.journal import warning
 from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.meter import Work
-from snipedeal_direct.model import PromptPart
 from snipedeal_direct.model import Target
 from snipedeal_direct.queueing import Dispatched
 from snipedeal_direct.settings import split_address
@@ -330,7 +329,7 @@
     def _apply_parts(self, peer: Peer, report: PartsReport) -> None:
         load = self._find_load(report)
         if load is not None:
-            load.note_parts(PromptPart(*part) for part in report.parts)
+            load.note_reported_parts(report.parts)
 
     def _find_load(self, report: LimitReport | PartsReport) -> TargetLoad | None:
         """Return the load of the target of a report, ``None`` if it is not known."""
