Make a position in a feed a named tuple

Each datagram announces positions that are compared with those known. The comparison that attrs generates first copies both objects field by field: 6 percent of the time of applying a datagram on the unchanged code, by its profile. Named tuples compare at once and order in the same way, which is tested now.

--- a/packages/snipedeal-direct/src/snipedeal_direct/following.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/following.py
@@ -45,8 +45,7 @@
     return sum(1 for peer in candidates if stable_hash("reader", peer) < own)
 
 
-@attrs.frozen(order=True)
-class Position:
+class Position(t.NamedTuple):
     """A place in a change feed; those of a later era come after all others.
 
     :param era: era of the store, -1 before the first read.
@@ -238,8 +237,8 @@
         positions = {}
         for name, offset in offsets.items():
             # A peer may follow feeds that this router does not know.
-            if name in self.feeds:
-                feed = self.feed(name)
+            feed = self.feeds.get(name)
+            if feed is not None:
                 position = Position(eras.get(name, feed.position.era), offset)
                 feed.note_peer_position(position, now_ms)
                 positions[name] = position
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -45,6 +45,44 @@
     assert set(readers[1:]) < set(new_readers)
 
 
+def test_position_of_a_later_era_comes_after_all_others():
+    positions = [
+        Position(),
+        Position(-1, 4),
+        Position(0, -1),
+        Position(0, 10**6),
+        Position(1, -1),
+        Position(1, 3),
+        Position(2**53, 2**64 - 1),
+    ]
+    assert Position() == Position(-1, -1)
+    for index, position in enumerate(positions):
+        assert all(other < position for other in positions[:index])
+        assert all(position < other for other in positions[index + 1 :])
+        assert max(reversed(positions[: index + 1])) == position
+
+
+@pytest.mark.parametrize("era", [-1, 0, 1])
+def test_announced_positions_are_noted_in_their_eras(era):
+    clock = FakeClock()
+    tracker = make_follower(clock)
+    noted = tracker.note_peer_positions(
+        {"targets": 12, "config": 3, "unknown": 7}, {"targets": era, "unknown": 9}
+    )
+    assert noted == {"targets": Position(era, 12)}
+    assert set(tracker.feeds) == {"targets"}
+    feed = tracker.feed("targets")
+    assert feed.peer_position == Position(era, 12)
+    for earlier in ((era, 11), (era - 1, 90)):
+        tracker.note_peer_positions({"targets": earlier[1]}, {"targets": earlier[0]})
+        assert feed.peer_position == Position(era, 12)
+    # Routers of earlier releases name no era: it is the one that is read here.
+    assert tracker.note_peer_positions({"targets": 14}, {}) == {
+        "targets": Position(0, 14)
+    }
+    assert feed.peer_position == max(Position(0, 14), Position(era, 12))
+
+
 def make_follower(clock):
     tracker = FeedTracker("zz", clock)
     names = [f"router-{n}" for n in range(200)]
