Replace a customer's reported sums with one look-up each

A report of a customer read both of the peer's sums, wrote them and added to both totals by six calls, each total decayed by an exponential even if it had changed in the same millisecond. A sum is now replaced and its growth returned in one step, and a total that changed in the same millisecond is not decayed.

--- a/packages/snipedeal-direct/src/snipedeal_direct/shares.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/shares.py
@@ -44,16 +44,27 @@
 
     def add(self, customer: str, units: float, now_ms: float) -> None:
         """Add to a customer's sum."""
-        self._sums[customer] = (self.get(customer, now_ms) + units, now_ms)
+        known = self._sums.get(customer)
+        if known is not None:
+            value, changed_ms = known
+            if changed_ms != now_ms:
+                value *= math.exp((changed_ms - now_ms) / self.time_constant_ms)
+            units += value
+        self._sums[customer] = (units, now_ms)
 
     def get(self, customer: str, now_ms: float) -> float:
         """Return a customer's sum, decayed to a time."""
         value, changed_ms = self._sums.get(customer, (0.0, now_ms))
         return value * math.exp((changed_ms - now_ms) / self.time_constant_ms)
 
-    def set(self, customer: str, units: float, now_ms: float) -> None:
-        """Replace a customer's sum."""
+    def replace(self, customer: str, units: float, now_ms: float) -> float:
+        """Replace a customer's sum; return by how much it grows."""
+        known = self._sums.get(customer)
         self._sums[customer] = (units, now_ms)
+        if known is None:
+            return units
+        value, changed_ms = known
+        return units - value * math.exp((changed_ms - now_ms) / self.time_constant_ms)
 
     def subtract(self, other: "DecayingSums") -> None:
         """Subtract sums with the same time constant."""
@@ -193,11 +204,11 @@
         if sums is None:
             sums = DecayingSums(self.window_ms), DecayingSums(self.window_ms)
             self._peers[peer] = sums
-        before = sums[0].get(customer, now_ms), sums[1].get(customer, now_ms)
-        sums[0].set(customer, demand, now_ms)
-        sums[1].set(customer, usage, now_ms)
-        self._all_demand.add(customer, demand - before[0], now_ms)
-        self._all_served.add(customer, usage - before[1], now_ms)
+        demands, served = sums
+        added = demands.replace(customer, demand, now_ms)
+        self._all_demand.add(customer, added, now_ms)
+        added = served.replace(customer, usage, now_ms)
+        self._all_served.add(customer, added, now_ms)
 
     def drop_peer(self, peer: str) -> None:
         """Discard all demand and usage reported by another router."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -94,6 +94,27 @@
                 assert shares.usage(name) == pytest.approx(expected, abs=15.0)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_sums_decay_as_defined_whichever_way_they_change(seed):
+    rng = random.Random(seed)
+    sums, now_ms = DecayingSums(4000.0), 0.0
+    added = {name: [] for name in "ab"}
+    for _ in range(500):
+        now_ms += rng.choice((0.0, 0.0, 1.0, 60.0))
+        name, units = rng.choice("ab"), rng.uniform(-500, 9_000)
+        before = sum(v * math.exp((at - now_ms) / 4000.0) for v, at in added[name])
+        if rng.random() < 0.5:
+            sums.add(name, units, now_ms)
+            added[name].append((units, now_ms))
+        else:
+            growth = sums.replace(name, units, now_ms)
+            assert growth == pytest.approx(units - before, rel=1e-9, abs=1e-6)
+            added[name] = [(units, now_ms)]
+        for each, values in added.items():
+            expected = sum(v * math.exp((at - now_ms) / 4000.0) for v, at in values)
+            assert sums.get(each, now_ms) == pytest.approx(expected, rel=1e-9, abs=1e-6)
+
+
 def test_time_of_an_update_does_not_grow_with_the_number_of_peers():
     reads = []
 
