Send new connections to routers that have time

Callers keep their router, and their retries come back to it: in the incident's record all calls of miwu190 met edge-dar-c-13 until its readiness check got no answer, while the zone's other routers used 6 to 22 percent of a core. Nothing told anybody.

A router that refuses more calls than it admits for want of time now fails its readiness check by itself, while three quarters of the routers have time. Connections that callers keep stay and are served; those opened meanwhile go to others, so that a flood spreads. Routers tell each other in one more field of their reports, which earlier releases skip.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -241,6 +241,15 @@
 SERVING_FRACTION_MIN = 0.1
 #: Largest factor by which more calls are admitted while the event loop is idle.
 UNUSED_RATE_LIMIT = 2.0
+#: Calls refused in such a window from which on a process that refuses more than it
+#: admits is short of time; those, and the part of the admitted calls, up to which it is
+#: no longer.
+SHORTAGE_CALLS = 20.0
+SHORTAGE_END_CALLS = 10.0
+SHORTAGE_END_FRACTION = 0.1
+#: Part of the routers that must have time for one that is short of it to send new
+#: connections to the others.
+PEERS_WITH_TIME_FRACTION = 0.75
 #: Interval at which the time for admitted calls is computed, ms: the usual period of
 #: processor quotas.
 ADMISSION_INTERVAL_MS = 100.0
--- a/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/gossip.py
@@ -173,6 +173,8 @@
     :param store_span: when the store has answered reads of the targets' feed, ``None``
         if the sender knows of no answer.
     :param eras: era of the store to which each position belongs, by change feed.
+    :param is_short: whether the sender refuses most calls for want of processor time;
+        routers of earlier releases do not say so.
     """
 
     sender: str
@@ -182,6 +184,7 @@
     reports: list[Report]
     store_span: StoreSpan | None = None
     eras: dict[str, int] = {}
+    is_short: bool = False
 
 
 class FeedSnapshot(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/snipedeal-direct/src/snipedeal_direct/overload.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/overload.py
@@ -146,6 +146,12 @@
         lambda: DecayingSums(defaults.SHED_WINDOW_MS)
     )
     _share: float = float("inf")
+    _is_short: bool = False
+
+    @property
+    def is_short(self) -> bool:
+        """Whether the process refuses more calls than it admits, for want of time."""
+        return self._is_short
 
     def note_usage(self, usage: LoopUsage, now_ms: float) -> None:
         """Record how the event loop spent its time since the last call."""
@@ -174,6 +180,16 @@
         window_calls = self._rate * defaults.SHED_WINDOW_MS / self.cost.ms
         arrived = self._arrived.all(now_ms).values()
         self._share = max_min_fair_share(arrived, window_calls)
+        self._update_shortage(sum(arrived), now_ms)
+
+    def _update_shortage(self, arrived: float, now_ms: float) -> None:
+        admitted = sum(self._admitted.all(now_ms).values())
+        refused = arrived - admitted
+        if self._is_short:
+            least = defaults.SHORTAGE_END_FRACTION * admitted
+            self._is_short = refused > max(least, defaults.SHORTAGE_END_CALLS)
+        else:
+            self._is_short = refused > max(admitted, defaults.SHORTAGE_CALLS)
 
     def _update_parts(self, usage: LoopUsage) -> None:
         """Smooth the parts of the time that a period had."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/peers.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/peers.py
@@ -57,6 +57,7 @@
     :param version: version of the configuration in force there.
     :param is_store_reachable: whether its calls to the store succeed.
     :param positions: positions that it announced last, by change feed.
+    :param is_short: whether it refuses most calls for want of processor time.
     """
 
     name: str
@@ -65,6 +66,7 @@
     version: int = -1
     is_store_reachable: bool = False
     positions: dict[str, Position] = attrs.Factory(dict)
+    is_short: bool = False
 
 
 @attrs.define
@@ -138,6 +140,20 @@
             ),
         ]
 
+    @property
+    def most_have_time(self) -> bool:
+        """Whether there are other routers and few of them are short of time."""
+        now_ms = self._clock.now_ms()
+        short = [
+            peer.is_short
+            for peer in self._peers.values()
+            if now_ms - peer.heard_ms <= defaults.PEER_STALE_MS
+        ]
+        with_time = len(short) - sum(short)
+        return with_time > 0 and with_time >= defaults.PEERS_WITH_TIME_FRACTION * (
+            len(short) + 1
+        )
+
     @property
     def has_heard_all(self) -> bool:
         """Whether every other router that is known has been heard from lately."""
@@ -242,6 +258,7 @@
             self.broadcast(self._collect_findings(is_refresh=True))
         peer.version = gossip.version
         peer.is_store_reachable = gossip.is_store_reachable
+        peer.is_short = gossip.is_short
         self._apply_store_span(gossip, peer.heard_ms)
         peer.positions = self._router.feed_tracker.note_peer_positions(
             gossip.positions, gossip.eras
@@ -526,6 +543,7 @@
             [],
             self._own_store_span(),
             {name: position.era for name, position in positions.items()},
+            self._router.dispatcher.shedder.is_short,
         )
         for data in pack(header, reports):
             for peer in self._peers.values():
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -74,6 +74,7 @@
         self.stopping_since_ms = 0.0
         self.log_writer = log_writer
         self.has_joined = False
+        self._was_short = False
         self._first_table: tuple[RouteTable, bytes, str] | None = None
         self._document = b""
         events = SourceEvents(
@@ -148,6 +149,19 @@
         """Whether the router may receive requests."""
         return self.routing.table is not None and not self.stopping_since_ms
 
+    @property
+    def wants_connections(self) -> bool:
+        """Whether new connections should come here rather than to other routers.
+
+        Callers keep their connections to a router that is short of processor time;
+        those that open new ones find a router that has some.
+        """
+        is_short = self.dispatcher.shedder.is_short and self.peers.most_have_time
+        if is_short != self._was_short:
+            self._was_short = is_short
+            info("process.short_of_time" if is_short else "process.has_time")
+        return self.is_ready and not is_short
+
     # -- life cycle ------------------------------------------------------------
 
     async def start(self) -> None:
@@ -349,7 +363,7 @@
         info("request.unreadable", status=status, reason=detail)
 
     def _serve_readiness(self, exchange: Exchange) -> None:
-        exchange.respond(200 if self.is_ready else 503, [], b"")
+        exchange.respond(200 if self.wants_connections else 503, [], b"")
 
     def _serve_metrics(self, exchange: Exchange) -> None:
         for name, queue in self.dispatcher.queues.items():
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -18,6 +18,7 @@
 from snipedeal_direct.overload import LoopLag
 from snipedeal_direct.overload import ServingCost
 from snipedeal_direct.queueing import ServiceQueue
+from snipedeal_standins.edge import CallerConnection
 from snipedeal_standins.edge import Edge
 from snipedeal_standins.edge import make_router
 from snipedeal_standins.replica import ReplicaSpec
@@ -202,6 +203,67 @@
     assert process.served["flood"] >= 0.8 * 5_000 / 10
 
 
+def test_router_is_short_of_time_while_it_refuses_most_calls():
+    process = SimulatedProcess({"flood": 60.0})
+    process.run(3_000)
+    assert not process._shedder.is_short
+    process._rates = {"flood": 800.0}
+    process.run(6_000)
+    assert process._shedder.is_short
+    # The flood ends, and its customer sends nothing more.
+    process._rates = {"other": 10.0}
+    process._next_ms = {"other": process.now_ms}
+    process.run(11_000)
+    assert not process._shedder.is_short
+
+
+def check_readiness(routers_short):
+    """Return the status of each router's readiness check."""
+
+    async def scenario():
+        edge = Edge()
+        try:
+            await edge.start(
+                [ReplicaSpec("desk-0", "desk")], routers=len(routers_short)
+            )
+            names = {router.settings.name for router in edge.routers}
+            for router, is_short in zip(edge.routers, routers_short, strict=True):
+                router.dispatcher.shedder._is_short = is_short
+            for router in edge.routers:
+                peers = router.peers._peers
+                await edge.wait_until(
+                    lambda peers=peers: (
+                        len(peers) == len(names) - 1
+                        and sum(peer.is_short for peer in peers.values())
+                        >= sum(routers_short) - 1
+                    )
+                )
+            statuses = []
+            for router in edge.routers:
+                host, _, port = router.settings.ready.rpartition(":")
+                connection = CallerConnection((host, int(port)))
+                answer = await connection.request("GET", "/-/readyz", "ready")
+                statuses.append(answer.status)
+                await connection.close()
+            return statuses
+        finally:
+            await edge.close()
+
+    return asyncio.run(scenario())
+
+
+def test_router_short_of_time_leaves_new_connections_to_others():
+    assert check_readiness([True, False, False, False, False]) == [503, *[200] * 4]
+
+
+def test_routers_that_are_all_short_of_time_stay_ready():
+    assert check_readiness([True, True, True]) == [200, 200, 200]
+
+
+def test_single_router_stays_ready_when_it_is_short_of_time():
+    assert check_readiness([True]) == [200]
+
+
 def test_callers_of_a_flood_return_as_slowly_as_their_calls_are_admitted():
     waits = []
     for rate in (200, 800):
