--- a/packages/snipedeal-direct/src/snipedeal_direct/meter.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/meter.py
@@ -14,7 +14,7 @@
 
 
 class Work(enum.Enum):
-    """What the event loop spends time on; all else is :attr:`LoopMeter.other_ms`."""
+    """What the event loop spends time on, beside system calls and the loop itself."""
 
     #: Reading requests of callers, admitting and refusing them.
     INTAKE = "intake"
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -149,9 +149,8 @@
         """Whether the router may receive requests."""
         return self.routing.table is not None and not self.stopping_since_ms
 
-    @property
     def wants_connections(self) -> bool:
-        """Whether new connections should come here rather than to other routers.
+        """Return whether new connections should come here; log when that changes.
 
         Callers keep their connections to a router that is short of processor time;
         those that open new ones find a router that has some.
@@ -363,7 +362,7 @@
         info("request.unreadable", status=status, reason=detail)
 
     def _serve_readiness(self, exchange: Exchange) -> None:
-        exchange.respond(200 if self.wants_connections else 503, [], b"")
+        exchange.respond(200 if self.wants_connections() else 503, [], b"")
 
     def _serve_metrics(self, exchange: Exchange) -> None:
         for name, queue in self.dispatcher.queues.items():
