Reserve processor time for customers that used less at all routers

Its router of 0.12 cores divided its time by the calls that came to it, so that customers that 17 routers serve took it from one that has only this.

The reserve is now by usage at all routers.

--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -242,6 +242,14 @@
         queue.accounts.note_asked(call)
         queue.shares.note_demand(call.customer, call.units, self._clock.now_ms())
 
+    def admits(self, service: str, customer: str, now_ms: float) -> bool:
+        """Return whether the router has time for a call of a customer."""
+        queue = self.queues.get(service)
+        shortfall = None
+        if queue is not None and queue.shares.total_usage > 0.0:
+            shortfall = queue.shares.shortfall(customer)
+        return self.shedder.admits(customer, now_ms, shortfall)
+
     def note_shed(self, service: str, customer: str, units: float) -> bool:
         """Record a call that the router had no time for, with its demand.
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -196,8 +196,9 @@
                 return None
             customer = found or ""
         now_ms = self._clock.now_ms()
-        if not router.dispatcher.shedder.admits(customer, now_ms):
-            self._shed(exchange, route, customer, request_id)
+        service = routing.draw_service(route)
+        if not router.dispatcher.admits(service, customer, now_ms):
+            self._shed(exchange, route, service, customer, request_id)
             return None
         caller_timeout_ms = _parse_non_negative(request.header(headers.deadline_ms))
         deadline_ms = request.read_ms + (
@@ -220,7 +221,7 @@
             deadline_ms=min(deadline_ms, request.read_ms + route.timeout_ms),
             latency_deadline_ms=request.read_ms + route.target_latency_ms,
             route=route,
-            service=routing.draw_service(route),
+            service=service,
             customer=customer,
             prompt=prompt,
             last_event_id=request.header(headers.resume_after).encode("latin-1"),
@@ -686,7 +687,12 @@
             self._log_refused(call, refusal, request_id, queue)
 
     def _shed(
-        self, exchange: Exchange, route: Route, customer: str, request_id: str
+        self,
+        exchange: Exchange,
+        route: Route,
+        service: str,
+        customer: str,
+        request_id: str,
     ) -> None:
         """Refuse a request that the router has no time for.
 
@@ -700,7 +706,6 @@
             wait_ms = router.dispatcher.shedder.wait_ms(customer, now_ms)
         delay_s = retry_after_s(request_id, wait_ms)
         exchange.respond(503, [(b"Retry-After", b"%.2f" % delay_s)], b"")
-        service = router.routing.draw_service(route)
         counters = self._shed_counters.get(service)
         if counters is None:
             counters = _ShedCounters.of(self._metrics, service)
--- a/packages/snipedeal-direct/src/snipedeal_direct/overload.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/overload.py
@@ -117,9 +117,10 @@
     keeps up with the responses in progress. Where the event loop's idle time is
     not measured, only the lag limits admission.
 
-    Processor time is shared like the targets' capacity: customers that are well below
-    their max-min share of the calls that the process has time for have a reserve, so
-    that a customer that floods the router does not shut out the others.
+    Customers have a reserve of time, so that one that floods the router does not shut
+    out the others: the more, the less they used at all routers. While no usage is
+    known, those well below their max-min share of the calls that the process has time
+    for have all of it.
 
     Far above the limit of the lag, as after a pause of the process, all calls are
     refused.
@@ -199,18 +200,24 @@
         self._reading += weight * (usage.part(Work.INTAKE) - self._reading)
         self._reports += weight * (usage.part(Work.REPORTS) - self._reports)
 
-    def admits(self, customer: str, now_ms: float) -> bool:
-        """Count a call that arrived; return whether the router takes it."""
+    def admits(
+        self, customer: str, now_ms: float, shortfall: float | None = None
+    ) -> bool:
+        """Count a call that arrived; return whether the router takes it.
+
+        :param shortfall: by which part the customer used less than the one that used
+            most, over all routers; ``None`` if that is not known.
+        """
         self._arrived.add(customer, 1.0, now_ms)
         if self.lag.ms > self.lag.limit_ms * defaults.SHED_ALL_LAG_FACTOR:
             return False
         if self._rate is not None:
             self._refill(now_ms)
-            # The reserve is for customers that a flood would shut out.
             is_light = self._admitted.get(customer, now_ms) < (
                 self._share * defaults.LIGHT_SHARE_FRACTION
             )
-            if self._budget_ms <= (-defaults.ADMISSION_BURST_MS if is_light else 0.0):
+            reserve = float(is_light) if shortfall is None else shortfall
+            if self._budget_ms <= -defaults.ADMISSION_BURST_MS * reserve:
                 return False
             self._budget_ms -= min(self.cost.ms, defaults.ADMISSION_BURST_MS)
         self._admitted.add(customer, 1.0, now_ms)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -264,6 +264,16 @@
     assert check_readiness([True]) == [200]
 
 
+def test_time_goes_first_to_customers_that_used_less_at_all_routers():
+    shedder = LoadShedder(LoopLag(), rate=0.5, budget_ms=-50.0)
+    shedder.cost = ServingCost(call_ms=1.0)
+    assert shedder.admits("behind", 0.0, shortfall=0.9)
+    assert not shedder.admits("ahead", 0.0, shortfall=0.0)
+    # Calls that it sent to this router do not count against it.
+    for _ in range(20):
+        assert shedder.admits("behind", 0.0, shortfall=0.9)
+
+
 def test_callers_of_a_flood_return_as_slowly_as_their_calls_are_admitted():
     waits = []
     for rate in (200, 800):
