--- a/tests/test_shipping.py
+++ b/tests/test_shipping.py
@@ -28,8 +28,8 @@
 START_LIMIT_S = 30
 #: Grace period between SIGTERM and SIGKILL, s.
 GRACE_S = 8
-#: Address of the router, its own since the port for metrics is fixed.
-# One for each run of the tests: the port of the metrics is fixed.
+#: Address of the router, its own in each run of the tests since the port for metrics
+#: is fixed.
 ROUTER_HOST = f"127.0.{20 + os.getpid() % 200}.1"
 
 
