--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -336,12 +336,14 @@
     """An answer as a client read it.
 
     :param status: 0 if the channel ended before a status line.
+    :param interim: a line that stands where the size of a chunk is due, else empty.
     """
 
     status: int
     headers: dict[str, str]
     body: bytes
     is_complete: bool
+    interim: bytes = b""
 
 
 async def read_answer(reader: asyncio.StreamReader) -> Answer:
@@ -354,7 +356,12 @@
             name, _, value = line.decode("latin-1").partition(":")
             headers[name.lower()] = value.strip()
         if headers.get("transfer-encoding") == "chunked":
-            while size := int(await reader.readuntil(b"\r\n"), 16):
+            while line := await reader.readuntil(b"\r\n"):
+                if line.startswith(b"HTTP/"):
+                    return Answer(status, headers, body, False, line.strip())
+                size = int(line, 16)
+                if not size:
+                    break
                 body += (await reader.readexactly(size + 2))[:-2]
             await reader.readuntil(b"\r\n")
         else:
