Limit headers and trailers by their bytes, not by their number

Cause: each header was held as a tuple of two bytes objects, up to fifty times the bytes of a short line, so that counts of 512 headers and 64 trailers had to bound what a head takes.

The headers of a request are now one block of bytes, while they are received, while the request waits and until it is sent on; a line costs what it has, and the account counts that. Trailers are dropped as they come, their bytes count as framing. The counts are gone.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -61,15 +61,13 @@
 #: Part of a request's body that is written to a target at once, bytes; a body up to
 #: that size goes out together with its head.
 SENT_PART_BYTES = 65_536
-#: Maximum number of headers of a request, and of trailers after a chunked body.
-REQUEST_HEADERS = 512
-REQUEST_TRAILERS = 64
 #: Bytes of the request line beside its target, and of the line that ends the head.
 REQUEST_LINE_BYTES = 64
 #: Maximum size of empty lines before a request, bytes.
 EMPTY_LINE_BYTES = 1_024
-#: Maximum size of chunk framing and trailers without a byte of the body, bytes; and the
-#: bytes on the wire for each one of the body beyond that: 6 for a chunk of one byte.
+#: Maximum size of chunk framing and trailers without a byte of the body, bytes, unless
+#: heads may be larger; and the bytes on the wire for each one of the body beyond that:
+#: 6 for a chunk of one byte.
 FRAMING_BYTES = 16_384
 FRAMING_FACTOR = 16
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/model.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/model.py
@@ -272,7 +272,7 @@
     return tokens
 
 
-Headers = t.Sequence[tuple[bytes, bytes]]
+Headers = t.Iterable[tuple[bytes, bytes]]
 
 
 @attrs.define(eq=False)
--- a/packages/snipedeal-direct/src/snipedeal_direct/parsing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/parsing.py
@@ -7,6 +7,7 @@
 
 from snipedeal.exceptions import SnipedealError
 from snipedeal_direct import defaults
+from snipedeal_direct.fields import Fields
 from snipedeal_direct.model import CallerLimits
 
 
@@ -14,7 +15,7 @@
 class HttpRequest:
     """A complete request.
 
-    :param headers: names in lower case, in the order received.
+    :param headers: its headers, without trailers.
     :param body: ``bytes``, or for large bodies a ``bytearray`` that isn't changed.
     :param began_ms: monotonic time at which its first byte was read, ms.
     :param read_ms: monotonic time at which its last byte was read, ms.
@@ -23,7 +24,7 @@
 
     method: str
     path: bytes
-    headers: list[tuple[bytes, bytes]]
+    headers: Fields
     body: bytes
     keeps_alive: bool
     version: str
@@ -33,10 +34,8 @@
 
     def header(self, name: bytes) -> str:
         """Return the first value of a header, empty if it is missing."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode("latin-1")
-        return ""
+        value = self.headers.get(name)
+        return "" if value is None else value.decode("latin-1")
 
 
 class RefusedInputError(SnipedealError):
@@ -86,9 +85,8 @@
 
     def _reset(self) -> None:
         self._path = b""
-        self._headers: list[tuple[bytes, bytes]] = []
+        self._headers = Fields()
         self._head_bytes = 0
-        self._trailers = 0
         self.has_head = False
         self._has_started = False
         self._body: bytearray | None = None
@@ -102,7 +100,7 @@
     @property
     def held_bytes(self) -> int:
         """Memory that a request in progress takes, bytes."""
-        held = self._bytes_since_body + self._cost_of_head
+        held = self._bytes_since_body + len(self._path) + self._headers.held_bytes
         if self._body is not None:
             # A bytearray reserves an eighth more than it has.
             held += len(self._body) * 9 // 8
@@ -113,14 +111,6 @@
         """Bytes of the body received so far."""
         return 0 if self._body is None else len(self._body)
 
-    @property
-    def _cost_of_head(self) -> int:
-        return (
-            self._head_bytes
-            + len(self._path)
-            + len(self._headers) * defaults.HEADER_OVERHEAD_BYTES
-        )
-
     def release(self) -> None:
         """Free what was received of a request in progress."""
         self._parser = httptools.HttpRequestParser(self)
@@ -166,7 +156,7 @@
         """Enforce the limits on what leads to no complete header or part of a body."""
         since = self._bytes_since_body
         if self.has_head:
-            if since > defaults.FRAMING_BYTES:
+            if since > max(defaults.FRAMING_BYTES, self._limits().max_header_bytes):
                 raise RefusedInputError(431, "chunk framing or trailers too large")
             allowed = self.body_bytes * defaults.FRAMING_FACTOR
             if self._framed_bytes > defaults.FRAMING_BYTES + allowed:
@@ -200,17 +190,12 @@
         self._path += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; count and drop a trailer."""
+        """Store a header; drop a trailer, whose bytes count as framing."""
         if self.has_head:
-            self._trailers += 1
-            if self._trailers > defaults.REQUEST_TRAILERS:
-                self._refuse(431, "too many trailers")
             return
-        self._headers.append((name.lower(), value))
-        # 4 bytes for the separator ": " and the line break.
-        self._head_bytes += len(name) + len(value) + 4
-        if len(self._headers) > defaults.REQUEST_HEADERS:
-            self._refuse(431, "too many headers")
+        self._headers.add(name.lower(), value)
+        # At least 3 bytes for the colon and the line break.
+        self._head_bytes += len(name) + len(value) + 3
 
     def on_headers_complete(self) -> None:
         """Enforce the header and body limits."""
@@ -221,16 +206,15 @@
         self._bytes_since_body = 0
         self._framed_bytes = 0
         length: int | None = 0
-        expects = False
-        for name, value in self._headers:
-            if name == b"content-length":
-                length = int(value)
-                if length > limits.max_body_bytes:
-                    self._refuse(413, "body too large")
-            elif name == b"transfer-encoding":
-                length = None
-            elif name == b"expect" and value.lower() == b"100-continue":
-                expects = True
+        stated = self._headers.get(b"content-length")
+        if stated is not None:
+            length = int(stated)
+            if length > limits.max_body_bytes:
+                self._refuse(413, "body too large")
+        if self._headers.get(b"transfer-encoding") is not None:
+            length = None
+        expected = self._headers.get_all(b"expect")
+        expects = any(value.lower() == b"100-continue" for value in expected)
         if length != 0 or expects:
             try:
                 self._on_head(length, expects)
--- /dev/null
+++ b/tests/test_fields.py
@@ -0,0 +1,24 @@
+"""Headers held as one block of bytes."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from snipedeal_direct.fields import Fields
+
+NAMES = st.sampled_from([b"a", b"aa", b"b", b"host", b"x-a"])
+VALUES = st.binary(max_size=6).map(lambda value: value.replace(b"\n", b":"))
+
+
+@given(st.lists(st.tuples(NAMES, VALUES), max_size=12))
+def test_all_pairs_are_kept_in_order(pairs):
+    fields = Fields(pairs)
+    assert list(fields) == pairs
+    for name in (b"a", b"aa", b"b", b"host", b"x-a", b"missing"):
+        values = [value for key, value in pairs if key == name]
+        assert fields.get_all(name) == values
+        assert fields.get(name) == (values[0] if values else None)
+
+
+def test_short_lines_are_not_held_as_objects():
+    fields = Fields([(b"a", b"")] * 4_000)
+    assert fields.held_bytes < 16_384
