Serve requests that offer an upgrade with their bodies

A CONNECT was passed on as a request and then answered with 400.

Cause: httptools ends a request that offers an upgrade after its head and takes the rest for another protocol. RequestReader passed the request on at that moment.

A server may ignore the offer (RFC 9110, 7.8). RequestReader now holds such a request back, and gives its head without the Upgrade line to a new parser, followed by the rest of the input; the limits and callbacks are those of any request. CONNECT is refused at its head.

--- a/packages/snipedeal-direct/src/snipedeal_direct/parsing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/parsing.py
@@ -74,6 +74,8 @@
         self._on_request = on_request
         self._parser = httptools.HttpRequestParser(self)
         self._refusal: RefusedInputError | None = None
+        # Whether the parser has ended the request after its head, for an upgrade.
+        self._has_upgrade = False
         # Whether no message has ended in the bytes that are being parsed, and their
         # number.
         self._is_fresh = True
@@ -114,6 +116,7 @@
     def release(self) -> None:
         """Free what was received of a request in progress."""
         self._parser = httptools.HttpRequestParser(self)
+        self._has_upgrade = False
         self._reset()
 
     def feed(self, data: bytes) -> int:
@@ -143,15 +146,35 @@
         self._bytes_since_body += size
         self._framed_bytes += size
         try:
-            self._parser.feed_data(piece)
-        except httptools.HttpParserUpgrade:
-            raise RefusedInputError(400, "upgrades are not offered") from None
+            self._parse(piece)
         except httptools.HttpParserError as error:
             refusal = self._refusal or RefusedInputError(400, f"not HTTP/1.1: {error}")
             raise refusal from None
         if self.began_ms:
             self._check_progress()
 
+    def _parse(self, piece: bytes | memoryview) -> None:
+        """Feed the parser; ignore offers to upgrade, as RFC 9110, 7.8 allows."""
+        while True:
+            try:
+                self._parser.feed_data(piece)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                piece = piece[upgrade.args[0] :]
+            # The parser takes what follows for another protocol. A new one reads the
+            # same head without the offer, and then the body.
+            head = self._render_without_upgrade()
+            self._parser = httptools.HttpRequestParser(self)
+            self._parser.feed_data(head)
+
+    def _render_without_upgrade(self) -> bytes:
+        method, version = self._parser.get_method(), self._parser.get_http_version()
+        lines = [b"%s %s HTTP/%s\r\n" % (method, self._path, version.encode())]
+        lines += [
+            b"%s: %s\r\n" % pair for pair in self._headers if pair[0] != b"upgrade"
+        ]
+        return b"".join(lines) + b"\r\n"
+
     def _check_progress(self) -> None:
         """Enforce the limits on what leads to no complete header or part of a body."""
         since = self._bytes_since_body
@@ -177,6 +200,13 @@
 
     def on_message_begin(self) -> None:
         """Begin a request."""
+        if self._has_upgrade:
+            # The same request is read once more.
+            self._has_upgrade = False
+            self._headers = Fields()
+            self._path = b""
+            self._head_bytes = 0
+            return
         began_ms = self.began_ms
         is_fresh = self._is_fresh
         self._reset()
@@ -202,6 +232,11 @@
         limits = self._limits()
         if self._head_bytes + len(self._path) > limits.max_header_bytes:
             self._refuse(431, "header too large")
+        self._has_upgrade = self._parser.should_upgrade()
+        if self._has_upgrade:
+            if self._parser.get_method() == b"CONNECT":
+                self._refuse(400, "tunnels are not offered")
+            return
         self.has_head = True
         self._bytes_since_body = 0
         self._framed_bytes = 0
@@ -235,6 +270,8 @@
 
     def on_message_complete(self) -> None:
         """Pass the complete request on."""
+        if self._has_upgrade:
+            return
         body: bytes = b""
         if self._body is not None:
             is_large = len(self._body) > defaults.MEMORY_EACH_BYTES
