Bound what prompts of many parts hold and cost

In the tests, prompts of 1,200 parts took two routers to 137 MB (one token a part) and 195 MB (none), also the one that only heard of them from its peer; 500 clients with 4,000 parts that waited took one to 99 MB.

Cause: a router remembers the parts of each prompt for each target, bounded by their tokens only, and tells all peers. A waiting prompt held 72 bytes or more for each 4 bytes of its header, and nothing accounted for them. Identifiers of any length were kept.

A prompt now has at most 64 parts for placement, caches and peers; those of a longer one are joined in groups of a power of two, so that prompts with the same start share their leading groups. Long identifiers are hashed. Quarantine still hashes each single part, from the header, and keeps the hashes in an array. The estimates of all targets share a budget by the VM's memory, from which the largest one is evicted, so that a flood at one target leaves the estimates of the others. What a prompt holds is in the account until its request ends.

--- a/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/crashes.py
@@ -1,5 +1,6 @@
 """Detect crashes of targets, and keep requests that cause them from other targets."""
 
+import array
 import asyncio
 import contextlib
 import typing as t
@@ -281,6 +282,9 @@
         for attempt in instance.unsettled:
             for trait in _suspect_traits(attempt.call):
                 is_repeated = trait in attempt.repeated
+                is_full = len(standings) >= core_defaults.CRASH_TRAITS_TOTAL
+                if is_full and not is_repeated:
+                    continue
                 standing = Standing.REPEATED if is_repeated else Standing.SUSPECT
                 standings[trait] = max(standing, standings.get(trait, standing))
         key = target.instance
@@ -348,8 +352,10 @@
 def call_traits(call: Call) -> frozenset[Trait]:
     """Return the traits of a call: the whole request, and the parts of its prompt."""
     if call.traits is None:
-        call.traits = part_traits(call) | {request_trait(call)}
-    return call.traits
+        traits = part_traits(call) | {request_trait(call)}
+        is_large = len(traits) > defaults.PROMPT_PARTS
+        call.traits = array.array("Q", traits) if is_large else traits
+    return frozenset(call.traits)
 
 
 def request_trait(call: Call) -> Trait:
@@ -367,7 +373,11 @@
     """
     if call.prompt is None:
         return frozenset()
-    return frozenset(stable_hash("part", part.id) for part in call.prompt.parts[:-1])
+    return frozenset(map(_part_trait, call.prompt.shared_part_ids()))
+
+
+def _part_trait(part_id: str) -> Trait:
+    return stable_hash("part", part_id)
 
 
 def _suspect_traits(call: Call) -> frozenset[Trait]:
@@ -388,9 +398,9 @@
 
 def _describe(call: Call, trait: Trait) -> str:
     """Return what a trait of a call stands for."""
-    for part in call.prompt.parts if call.prompt else ():
-        if stable_hash("part", part.id) == trait:
-            return f"trait {_hex(trait)}, part {part.id},"
+    for part_id in call.prompt.shared_part_ids() if call.prompt else ():
+        if _part_trait(part_id) == trait:
+            return f"trait {_hex(trait)}, part {part_id},"
     return f"trait {_hex(trait)}, the whole request,"
 
 
@@ -413,15 +423,16 @@
     attempts: t.Iterable[Attempt], standings: t.Mapping[Trait, Standing]
 ) -> dict[str, str]:
     """Return shared parts of unanswered calls, by trait, repeated ones first."""
-    parts = {
-        stable_hash("part", part.id): part.id
-        for attempt in attempts
-        if attempt.call.prompt is not None
-        for part in attempt.call.prompt.parts[:-1]
-    }
-    ranked = sorted(parts, key=lambda trait: standings.get(trait, 0), reverse=True)
-    named = ranked[: core_defaults.CRASH_LOG_TRAITS]
-    return {_hex(trait): parts[trait] for trait in named}
+    ranked = sorted(standings, key=lambda trait: standings[trait], reverse=True)
+    wanted = set(ranked[: core_defaults.CRASH_LOG_TRAITS])
+    found: dict[Trait, str] = {}
+    for attempt in attempts:
+        prompt = attempt.call.prompt
+        for part_id in prompt.shared_part_ids() if prompt is not None else ():
+            trait = _part_trait(part_id)
+            if trait in wanted:
+                found[trait] = part_id
+    return {_hex(trait): found[trait] for trait in ranked if trait in found}
 
 
 async def _refuses_connections(target: Target) -> bool:
--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -120,6 +120,16 @@
 
 #: Longest time for which an idle connection is kept, s, whatever the target names.
 IDLE_REUSE_LIMIT_S = 3_600.0
+#: Parts of a prompt that are kept one by one; those of a longer one are kept in groups.
+PROMPT_PARTS = 64
+#: Longest identifier of a part that is kept, characters; longer ones are hashed.
+PART_ID_CHARS = 32
+#: Memory of a part of a prompt that waits, bytes.
+PROMPT_PART_BYTES = 160
+#: Part of the VM's memory for the estimates of targets' prefix caches, and the memory
+#: of an entry, bytes.
+PREFIX_MEMORY_FRACTION = 0.15
+PREFIX_ENTRY_BYTES = 240
 #: Largest number of tokens of a prompt, its output or one of its parts.
 PROMPT_TOKENS_LIMIT = 1_000_000_000
 #: Delay before a failed background task is started again, ms.
--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -9,6 +9,7 @@
 from snipedeal_direct.accounting import log_fields
 from snipedeal_direct.findings import TargetFindings
 from snipedeal_direct.journal import info
+from snipedeal_direct.load import PrefixBudget
 from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.meter import LoopMeter
 from snipedeal_direct.meter import UsageWindow
@@ -74,6 +75,7 @@
         self._clock = clock
         self._metrics = metrics
         self.findings = TargetFindings()
+        self.prefix_budget = PrefixBudget.of_process(settings.max_memory_mb)
         self._registrations: dict[str, Target] = {}
         # Services of the configuration, ``None`` before the first; only these have
         # queues.
@@ -445,7 +447,9 @@
         queue = self.queues.get(service)
         if queue is None:
             shares = Shares(self._settings.bounds.share_window_ms)
-            queue = ServiceQueue(service, self._settings.zone, shares)
+            queue = ServiceQueue(
+                service, self._settings.zone, shares, prefix_budget=self.prefix_budget
+            )
             queue.costs.is_enabled = self._settings.learns_costs
             self.queues[service] = queue
         return queue
--- a/packages/snipedeal-direct/src/snipedeal_direct/exchange.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/exchange.py
@@ -53,6 +53,14 @@
         """Bytes written that the caller's connection has not taken yet."""
         return self._connection.unsent_bytes
 
+    def hold(self, extra_bytes: int) -> None:
+        """Count memory that the request takes beside what was received, until its end.
+
+        :param extra_bytes: what is held in addition, bytes.
+        """
+        self.request.held_bytes += extra_bytes
+        self._connection.add_request_bytes(extra_bytes)
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response."""
         if self.is_ended or self.is_disconnected:
--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -214,6 +214,8 @@
                 request.header(headers.token_counts),
                 request.header(headers.length_hint),
             )
+        if prompt is not None:
+            exchange.hold(prompt.held_bytes)
         call = Call(
             id=request_id,
             method=request.method,
--- a/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
@@ -266,11 +266,12 @@
         if self.holding.get(Kind.INCOMPLETE):
             self._stated_bytes = 0
             self.holding.set(Kind.INCOMPLETE, 0)
-        self._add_request_bytes(request.held_bytes)
+        self.add_request_bytes(request.held_bytes)
         self._pipelined.append(request)
         self._start_next_request()
 
-    def _add_request_bytes(self, change: int) -> None:
+    def add_request_bytes(self, change: int) -> None:
+        """Count a change of what complete requests hold, bytes."""
         self.holding.set(Kind.REQUESTS, self.holding.get(Kind.REQUESTS) + change)
 
     # -- responses -----------------------------------------------------------------
@@ -310,7 +311,7 @@
     def end_exchange(self, closes: bool) -> None:
         """Start the next request, or close the connection."""
         if self._current is not None:
-            self._add_request_bytes(-self._current.request.held_bytes)
+            self.add_request_bytes(-self._current.request.held_bytes)
         self._current = None
         if closes:
             self._close()
@@ -407,7 +408,7 @@
         """Free what was received and is not being handled."""
         self._reader.release()
         for request in self._pipelined:
-            self._add_request_bytes(-request.held_bytes)
+            self.add_request_bytes(-request.held_bytes)
         self._pipelined.clear()
         self._unread.clear()
         self._stated_bytes = 0
--- a/packages/snipedeal-direct/src/snipedeal_direct/load.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/load.py
@@ -50,17 +50,67 @@
     forecast: int = 0
 
 
+@attrs.define(eq=False)
+class PrefixBudget:
+    """Bound the estimates of all targets' prefix caches together.
+
+    :param limit: entries that they may have; beyond it, the largest one shrinks.
+    :ivar used: entries that they have.
+    """
+
+    limit: int
+    used: int = 0
+    _caches: dict["PrefixCache", None] = attrs.Factory(dict)
+
+    @classmethod
+    def of_process(cls, max_memory_mb: float) -> "PrefixBudget":
+        """Return the budget of a process on a VM.
+
+        :param max_memory_mb: memory of the VM, MB (10**6 bytes).
+        """
+        limit_bytes = max_memory_mb * 1e6 * defaults.PREFIX_MEMORY_FRACTION
+        return cls(int(limit_bytes) // defaults.PREFIX_ENTRY_BYTES)
+
+    @classmethod
+    def of_smallest_vm(cls) -> "PrefixBudget":
+        """Return the budget of a process whose settings name no memory."""
+        return cls.of_process(defaults.MAX_MEMORY_MB)
+
+    def add(self, cache: "PrefixCache") -> None:
+        """Include an estimate."""
+        self._caches[cache] = None
+
+    def remove(self, cache: "PrefixCache") -> None:
+        """Exclude the estimate of a target that is gone."""
+        self._caches.pop(cache, None)
+
+    def enforce(self) -> None:
+        """Evict from the largest estimates until the limit holds."""
+        while self.used > self.limit:
+            largest = max(self._caches, key=len)
+            # More than needed, so that not each new part needs a search.
+            largest.evict(1 + len(largest) // 64)
+
+
 @attrs.define(eq=False, repr=False)
 class PrefixCache:
     """Estimate of the prompt parts in a target's prefix cache.
 
     The least recently used parts are evicted first, as in the target. Calls of
-    other routers are included as far as peers reported them.
+    other routers are included as far as peers reported them. Parts count by their
+    tokens, as in the target, and by their number, since each takes memory here.
     """
 
+    _budget: PrefixBudget = attrs.Factory(PrefixBudget.of_smallest_vm)
     _parts: collections.OrderedDict[str, int] = attrs.Factory(collections.OrderedDict)
     _size: float = 0.0
 
+    def __attrs_post_init__(self) -> None:
+        self._budget.add(self)
+
+    def __len__(self) -> int:
+        return len(self._parts)
+
     def uncached_tokens(self, prompt: Prompt) -> int:
         """Return the tokens of a prompt that are not cached.
 
@@ -83,18 +133,19 @@
 
     def add(self, part_id: str, tokens: int) -> None:
         """Add a part, or mark it as the most recently used."""
-        before = self._parts.pop(part_id, 0)
-        self._parts[part_id] = tokens
-        self._size += tokens - before
+        self.add_all(((part_id, tokens),))
 
     def add_all(self, parts: t.Iterable[tuple[str, int]]) -> None:
         """Add parts, given as identifier and tokens, as :meth:`add` does."""
         cached = self._parts
+        before = len(cached)
         size = self._size
         for part_id, tokens in parts:
             size += tokens - cached.pop(part_id, 0)
             cached[part_id] = tokens
         self._size = size
+        self._budget.used += len(cached) - before
+        self._budget.enforce()
 
     def shrink(self, capacity: float) -> None:
         """Evict the least recently used parts until the rest fits.
@@ -102,13 +153,25 @@
         :param capacity: tokens that the target's cache holds.
         """
         while self._size > capacity and self._parts:
+            self.evict(1)
+
+    def evict(self, count: int) -> None:
+        """Evict the least recently used parts.
+
+        :param count: how many, at most as many as there are.
+        """
+        for _ in range(count):
             _, tokens = self._parts.popitem(last=False)
             self._size -= tokens
+        self._budget.used -= count
 
-    def clear(self) -> None:
-        """Remove all parts."""
-        self._parts.clear()
-        self._size = 0.0
+    def close(self) -> None:
+        """Remove all parts, and leave the budget."""
+        self.evict(len(self._parts))
+        self._budget.remove(self)
+        # Calls in progress may still add their parts.
+        self._budget = PrefixBudget(self._budget.limit)
+        self._budget.add(self)
 
 
 @attrs.define(eq=False)
@@ -469,9 +532,7 @@
 
     def note_parts(self, parts: t.Iterable[PromptPart]) -> None:
         """Add prompt parts to the cache estimate after a router sent them."""
-        for part in parts:
-            self.cache.add(part.id, part.tokens)
-        self._shrink_cache()
+        self.note_reported_parts((part.id, part.tokens) for part in parts)
 
     def note_reported_parts(self, parts: t.Iterable[tuple[str, int]]) -> None:
         """Do as :meth:`note_parts`, for pairs of identifier and tokens."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/metrics.py
@@ -150,6 +150,11 @@
             ["kind"],
             registry=self.registry,
         )
+        self.prefix_entries = Gauge(
+            "snipedeal_direct_prefix_entries",
+            "Prompt parts in the estimates of all targets' prefix caches.",
+            registry=self.registry,
+        )
         self.held_limit_bytes = Gauge(
             "snipedeal_direct_held_limit_bytes",
             "Limit of the memory held for callers and targets.",
--- a/packages/snipedeal-direct/src/snipedeal_direct/model.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/model.py
@@ -6,6 +6,8 @@
 import attrs
 
 from snipedeal_direct import defaults
+from snipedeal_direct.prompts import group_parts
+from snipedeal_direct.prompts import list_parts
 from snipedeal_direct.warmup import ColdTerms
 
 
@@ -177,7 +179,10 @@
 
 @attrs.frozen
 class PromptPart:
-    """A part of a prompt, which a target may have in its prefix cache."""
+    """A part of a prompt, which a target may have in its prefix cache.
+
+    In a prompt of very many parts, it is a group of them.
+    """
 
     id: str
     tokens: int
@@ -190,6 +195,7 @@
     :param parts: parts in order; the last one is specific to the request.
     :param tokens: length of the whole prompt.
     :param output_tokens: expected length of the output, tokens.
+    :param listing: the header that lists all parts, if ``parts`` are groups of them.
     :param shared_ids: IDs of all parts but the last.
     :param shared_tokens: tokens of all parts but the last.
     """
@@ -197,6 +203,7 @@
     parts: tuple[PromptPart, ...]
     tokens: int
     output_tokens: int
+    listing: str = ""
     shared_ids: tuple[str, ...] = attrs.field(init=False, eq=False, repr=False)
     shared_tokens: int = attrs.field(init=False, eq=False, repr=False)
 
@@ -206,6 +213,18 @@
         tokens = sum(part.tokens for part in self.parts[:-1])
         object.__setattr__(self, "shared_tokens", tokens)
 
+    def shared_part_ids(self) -> t.Iterable[str]:
+        """Return the IDs of all parts but the last, without groups."""
+        if not self.listing:
+            return self.shared_ids
+        ids = [part_id for part_id, _ in list_parts(self.listing)]
+        return ids[:-1]
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that it takes beside the headers that describe it, bytes."""
+        return len(self.parts) * defaults.PROMPT_PART_BYTES + len(self.listing)
+
     @property
     def units(self) -> float:
         """Cost in units of capacity: one per prompt token, two per output token."""
@@ -230,11 +249,13 @@
     :param hint: expected output tokens, empty if the caller gave none.
     """
     try:
-        prompt_parts = []
-        for entry in filter(None, parts.split(",")):
-            part_id, _, tokens = entry.strip().partition(":")
-            prompt_parts.append(PromptPart(part_id, _parse_tokens(tokens)))
-        return Prompt(tuple(prompt_parts), *_parse_counts(counts, hint))
+        entries = [(key, _parse_tokens(tokens)) for key, tokens in list_parts(parts)]
+        groups = group_parts(entries)
+        return Prompt(
+            tuple(PromptPart(key, tokens) for key, tokens in groups),
+            *_parse_counts(counts, hint),
+            listing=parts if groups is not entries else "",
+        )
     except (ValueError, OverflowError):
         return None
 
@@ -293,7 +314,8 @@
     :param last_event_id: ID of the last stream event that the caller received; a
         target resumes the stream after it.
     :param traits: hashes by which it is known if it crashes a target, computed on first
-        use; see :func:`snipedeal_direct.crashes.call_traits`.
+        use; see :func:`snipedeal_direct.crashes.call_traits`. A set of thousands would
+        take forty times the memory of an array.
     :param spent_ms: time that the event loop has spent on it, ms.
     :param units: cost in units of the service's capacity; one without a prompt.
     """
@@ -316,7 +338,7 @@
     is_suspect: bool = False
     is_probe: bool = False
     last_event_id: bytes = b""
-    traits: frozenset[int] | None = None
+    traits: frozenset[int] | t.Sequence[int] | None = None
     spent_ms: float = 0.0
     units: float = attrs.field(init=False)
 
--- a/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/queueing.py
@@ -18,6 +18,8 @@
 from snipedeal_direct.accounting import CustomerAccounts
 from snipedeal_direct.costs import CostModel
 from snipedeal_direct.load import InFlightCall
+from snipedeal_direct.load import PrefixBudget
+from snipedeal_direct.load import PrefixCache
 from snipedeal_direct.load import TargetLoad
 from snipedeal_direct.model import Call
 from snipedeal_direct.model import EngineLimits
@@ -127,6 +129,7 @@
     :param peers_queued_tokens: queued prompt tokens by slack class, for each peer.
     :param peers_underserved_stage: lowest stage of an underserved customer, for each
         peer.
+    :param prefix_budget: bounds the estimates of the targets' prefix caches.
     """
 
     service: str
@@ -140,6 +143,7 @@
     costs: CostModel = attrs.Factory(lambda: CostModel(is_enabled=False))
     peers_queued_tokens: dict[str, list[int]] = attrs.Factory(dict)
     peers_underserved_stage: dict[str, int] = attrs.Factory(dict)
+    prefix_budget: PrefixBudget = attrs.Factory(PrefixBudget.of_smallest_vm)
     # Smoothed length of a prompt, tokens.
     _mean_tokens: float = 0.0
     _last_refused_ms: dict[str, float] = attrs.Factory(dict)
@@ -187,7 +191,9 @@
         if known is not None and _is_same_instance(known.target, target):
             known.target = target
             return False
-        load = TargetLoad(target, self.engine)
+        if known is not None:
+            known.cache.close()
+        load = TargetLoad(target, self.engine, cache=PrefixCache(self.prefix_budget))
         if self.targets:
             load.speed.usual = load.own_rate = self._mean_prefill_rate()
         load.warmup.terms = self.cold_terms
@@ -198,7 +204,9 @@
     def remove_target(self, target_id: str) -> None:
         """Remove a target that is no longer registered."""
         self.note_change()
-        self.targets.pop(target_id, None)
+        load = self.targets.pop(target_id, None)
+        if load is not None:
+            load.cache.close()
 
     def update_speeds(self, now_ms: float) -> None:
         """Recompute how fast the targets work, and what running requests cost them."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -383,6 +383,7 @@
         self.metrics.quarantined.set(len(self.crashes.evidence.quarantined))
         self.metrics.received_bytes.set(self.pool.budget.used_bytes)
         self.metrics.note_memory(self.account, self._ingress)
+        self.metrics.prefix_entries.set(self.dispatcher.prefix_budget.used)
         self.metrics.loop_lag.set(self.dispatcher.lag.ms / 1000)
         self.metrics.log_dropped.set(self.log_writer.dropped)
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
