Limit what callers of the routers' and agents' HTTP side may send and hold

Callers saw nothing for 40 s, or a process that had run out of memory: 100 connections of 1 MB each took router and agent to 142 to 168 MB (heads and targets without end), 2,039 MB (trailers), 134 to 162 MB (heads of legal size, complete or not); 120 bodies of 1 MB took the router to 140 (stated), 177 (chunks) and 370 MB (waiting for the engine). Pipelined requests whose answers nobody read stopped both, and 400 connections took all of 200 descriptors. A request that offered an upgrade got a 400.

Cause: uvicorn bounds none of these. Its parser keeps lines and trailers as they come, all that a read of 256 KB holds is parsed at once, and a connection that sends nothing has no timeout.

BoundedProtocol feeds the parser in pieces and checks in between: bytes without progress, head, framing, empty lines. Trailers are dropped. Input behind four waiting requests is not parsed. Heads are paid for by their lines and bytes, bodies by their bytes, responses by what is not read, in an account by customer (HeldMemory): the key is looked up when the head is complete, unknown ones share one account, and a customer keeps to its part once half of the memory is taken, so that a crowd is not paid by others. Connections have seats: idle ones give way first, then those that began a head. A refusal is sent before a body is read, or the connection closes; what was refused never reached the application, or is not admitted there.

In the tests the engine now reads prompts at once: 1 MB took it 13 s, longer than the crowd's memory was the question.

--- a/packages/snipedeal-agent/src/snipedeal_agent/cli.py
+++ b/packages/snipedeal-agent/src/snipedeal_agent/cli.py
@@ -61,7 +61,12 @@
     agent = Agent(settings)
     app = falcon.asgi.App()
     add_monitoring_routes(app, agent.node)
-    server = HttpServer(app, settings.node.http_host, settings.node.http_port)
+    metrics = agent.node.metrics
+    server = HttpServer(
+        app,
+        settings.node,
+        on_refused=lambda limit: metrics.refused_input.labels(limit).inc(),
+    )
     stop_signals = watch_stop_signals()
     try:
         await server.start()
--- a/packages/snipedeal-router/src/snipedeal_router/admission.py
+++ b/packages/snipedeal-router/src/snipedeal_router/admission.py
@@ -82,15 +82,20 @@
             ready.
         """
         self._check_ready()
-        scheme, _, key = authorization.partition(" ")
-        if scheme.lower() != "bearer" or not key:
+        if not _bearer_key(authorization):
             raise refused_error(401, "no_key", "a bearer key is needed", "authenticate")
-        digest = hashlib.sha256(key.strip().encode()).hexdigest()
-        customer = self._node.configuration.find_customer(KEY_HASH_PREFIX + digest)
-        if customer is None:
+        customer = self.identify(authorization)
+        if not customer:
             raise refused_error(401, "wrong_key", "the key is unknown", "authenticate")
         return customer
 
+    def identify(self, authorization: str) -> str:
+        """Return the customer whose bearer key a header contains, empty if none."""
+        key = _bearer_key(authorization)
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        found = self._node.configuration.find_customer(KEY_HASH_PREFIX + digest)
+        return found or ""
+
     def find_service(self, customer: str, name: str) -> Service:
         """Return a service that a customer may use.
 
@@ -273,6 +278,11 @@
         )
 
 
+def _bearer_key(authorization: str) -> str:
+    scheme, _, key = authorization.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
 def body_too_large(limit: int) -> RefusedError:
     """Return the error that refuses a body over the limit.
 
--- a/packages/snipedeal-router/src/snipedeal_router/serve.py
+++ b/packages/snipedeal-router/src/snipedeal_router/serve.py
@@ -12,6 +12,7 @@
 from snipedeal_router import incidents
 from snipedeal_router import orders
 from snipedeal_router import snapshots
+from snipedeal_router.admission import Admission
 from snipedeal_router.app import make_app
 from snipedeal_router.router import Router
 
@@ -30,8 +31,12 @@
     :param settings: validated settings.
     """
     router = Router(settings)
+    metrics = router.node.metrics
     server = HttpServer(
-        make_app(router), settings.node.http_host, settings.node.http_port
+        make_app(router),
+        settings.node,
+        Admission(router).identify,
+        lambda limit: metrics.refused_input.labels(limit).inc(),
     )
     stop_signals = watch_stop_signals()
     try:
--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -51,6 +51,44 @@
 MAX_ATTEMPTS = 4
 ORPHAN_GRACE_MS = 5_000
 
+# -- what callers of the HTTP interface may send and hold ----------------------
+MAX_HEADER_BYTES = 16_384
+RECEIVE_TIMEOUT_MS = 60_000
+CONNECTIONS_LIMIT = 20_000
+# Connections accepted in one iteration of the event loop; the kernel keeps more.
+ACCEPTED_AT_ONCE = 8
+ACCEPT_BACKLOG = 1_024
+# Memory of a process that holds nothing for callers, MB; the part of the rest that
+# callers may hold, the least, and the part of that which is divided among customers.
+# The other part is for copies that are made while a request is passed on.
+MEMORY_RESERVE_MB = 80.0
+HELD_FRACTION = 0.3
+HELD_MIN_MB = 8.0
+HELD_PARTS_FRACTION = 0.75
+# Memory of a connection, of a request, and of a line of its head beside its bytes,
+# while it is received and while the interface, the request and its headers to the
+# target hold it.
+CONNECTION_BYTES = 8_192
+REQUEST_BYTES = 8_192
+RECEIVED_LINE_BYTES = 200
+HEADER_LINE_BYTES = 800
+HEAD_COPIES = 4
+BODY_COPIES = 2
+# Largest stated length that is reserved when a head is admitted; the body is counted
+# as it comes.
+BODY_LIMIT_BYTES = 1_048_576
+# Requests that wait on a connection before its input is no longer parsed, and bytes
+# that the parser gets at once.
+PIPELINED_REQUESTS = 4
+PARSED_BYTES = 16_384
+# Bytes of the request line beside its target and of the line that ends the head, of
+# empty lines before a request, of chunk framing and trailers without a byte of the
+# body, and on the wire for each byte of a chunked body beyond that.
+REQUEST_LINE_BYTES = 64
+EMPTY_LINE_BYTES = 1_024
+FRAMING_BYTES = 16_384
+FRAMING_FACTOR = 16
+
 # -- platform ----------------------------------------------------------------
 CONFIG_STREAM = "config"
 INCIDENT_STREAM = "incidents"
--- a/packages/snipedeal/src/snipedeal/metrics.py
+++ b/packages/snipedeal/src/snipedeal/metrics.py
@@ -117,6 +117,13 @@
             registry=self.registry,
         )
 
+        self.refused_input = Counter(
+            "snipedeal_refused_input",
+            "Callers of the HTTP interface that a limit refused, by limit.",
+            ["limit"],
+            registry=self.registry,
+        )
+
     def render(self) -> bytes:
         """Return all samples in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/snipedeal/src/snipedeal/serving.py
+++ b/packages/snipedeal/src/snipedeal/serving.py
@@ -2,12 +2,20 @@
 
 import asyncio
 import contextlib
+import functools
+import socket
 import typing as t
 
 import falcon
 import falcon.asgi
 import uvicorn
 
+from snipedeal import defaults
+from snipedeal.holdings import UNKNOWN
+from snipedeal.intake import BoundedProtocol
+from snipedeal.intake import Intake
+from snipedeal.settings import NodeSettings
+
 _GRACEFUL_SHUTDOWN_TIMEOUT_S = 5
 _KEEP_ALIVE_TIMEOUT_S = 75
 
@@ -16,20 +24,31 @@
     """Run a uvicorn server that leaves signal handling to its owner.
 
     :param app: an ASGI application.
-    :param host: address to bind.
-    :param port: port to bind.
+    :param settings: address to bind, and limits on callers.
+    :param identify: returns the customer that an ``Authorization`` header names, empty
+        if there is none.
+    :param on_refused: called with the name of the limit that refused a caller.
     """
 
-    def __init__(self, app: t.Any, host: str, port: int) -> None:
+    def __init__(
+        self,
+        app: t.Any,
+        settings: NodeSettings,
+        identify: t.Callable[[str], str] = lambda authorization: UNKNOWN,
+        on_refused: t.Callable[[str], None] = lambda limit: None,
+    ) -> None:
+        intake = Intake(settings, identify, on_refused)
         config = uvicorn.Config(
             app,
-            host=host,
-            port=port,
+            host=settings.http_host,
+            port=settings.http_port,
             log_config=None,
             access_log=False,
             lifespan="off",
             loop="asyncio",
-            http="httptools",
+            http=functools.partial(BoundedProtocol, intake),
+            # The event loop accepts as many at once, before any of them can be closed.
+            backlog=defaults.ACCEPTED_AT_ONCE,
             timeout_graceful_shutdown=_GRACEFUL_SHUTDOWN_TIMEOUT_S,
             timeout_keep_alive=_KEEP_ALIVE_TIMEOUT_S,
         )
@@ -46,6 +65,11 @@
             if self._task.done():
                 raise OSError("can't bind the HTTP address")
             await asyncio.sleep(0.01)
+        for server in self._server.servers:
+            for listening in server.sockets:
+                number = listening.fileno()
+                with socket.fromfd(number, listening.family, listening.type) as sock:
+                    sock.listen(defaults.ACCEPT_BACKLOG)
 
     async def close(self) -> None:
         """Close idle connections and wait up to 5 s for open requests to end."""
--- a/packages/snipedeal/src/snipedeal/settings.py
+++ b/packages/snipedeal/src/snipedeal/settings.py
@@ -39,6 +39,14 @@
     :param vm_list_stale_ms: time without a newer VM list, read or relayed, after
         which the list counts as stale.
     :param shutdown_limit_ms: longest duration of a graceful shutdown.
+    :param max_header_bytes: largest head of a request, without the request line's
+        method and version.
+    :param max_connections: connections to the HTTP server; 0 for half of the
+        descriptors that the process may open.
+    :param max_memory_mb: memory of the VM, MB, which bounds what is held for callers; 0
+        for what the kernel tells.
+    :param receive_timeout_ms: time in which a request must be complete, and in which a
+        caller must read some of a response.
     """
 
     name: str
@@ -55,6 +63,14 @@
     shutdown_limit_ms: int = attrs.field(
         default=defaults.SHUTDOWN_LIMIT_MS, validator=in_range(100, 3_600_000)
     )
+    max_header_bytes: int = attrs.field(
+        default=defaults.MAX_HEADER_BYTES, validator=in_range(1_024, 1_048_576)
+    )
+    max_connections: int = attrs.field(default=0, validator=in_range(0, 10_000_000))
+    max_memory_mb: float = attrs.field(default=0, validator=in_range(0, 10_000_000))
+    receive_timeout_ms: int = attrs.field(
+        default=defaults.RECEIVE_TIMEOUT_MS, validator=in_range(1_000, 3_600_000)
+    )
 
     @http.validator
     def _check_http(self, attribute: attrs.Attribute, value: str) -> None:
--- a/tests/test_hostile_interface.py
+++ b/tests/test_hostile_interface.py
@@ -25,12 +25,16 @@
 from snipedeal_standins.scenarios import small_plan
 
 MEMORY_LIMIT_BYTES = hostile.MEMORY_LIMIT_BYTES
+#: Memory of the VM that the processes assume, MB.
+MEMORY_MB = 160
 #: Descriptors that each process may open.
 DESCRIPTORS = 200
 #: Largest head that the processes accept unless their settings say otherwise.
 HEAD_BYTES = 16_384
 #: Largest body of a service by default, bytes.
 BODY_BYTES = 1_048_576
+#: The engine reads the largest prompts at once, so that the crowd's responses end.
+ENGINE = {"step_ms": 2.0, "prefill_per_token_ms": 0.0001}
 CUSTOMER = "one"
 OTHER_CUSTOMER = "two"
 ROUTER = "router-0"
@@ -47,7 +51,11 @@
     def __init__(self, directory, engine_options=None, descriptors=0):
         customers = {CUSTOMER: 1.0, OTHER_CUSTOMER: 1.0}
         plan = small_plan(
-            customers, routers=1, engines=1, engine_options=engine_options or {}
+            customers,
+            routers=1,
+            engines=1,
+            engine_options=engine_options or {},
+            node_settings={"max_memory_mb": MEMORY_MB},
         )
         self.fleet = Fleet(plan, directory)
         self.peak_descriptors = 0
@@ -376,7 +384,7 @@
         await stage.check_ordinary_request()
         stage.check_processes()
 
-    play(tmp_path, scenario, engine_options={"step_ms": 2.0})
+    play(tmp_path, scenario, engine_options=ENGINE)
 
 
 @pytest.mark.parametrize("start", [b"", b"GET /", head()], ids=["idle", "line", "head"])
