Quote at most 200 characters of a caller's text in refusals

Callers saw a refusal of several times the size of their request: a model name of 150,000 bytes came back up to six times as long, three times in one problem document. 100 clients with three such requests took a router to 134 MB on.

Cause: the name and the path went into the detail unchanged, and from there into the title and the error message.

A refusal now quotes 200 characters.

--- a/packages/snipedeal-router/src/snipedeal_router/admission.py
+++ b/packages/snipedeal-router/src/snipedeal_router/admission.py
@@ -17,6 +17,7 @@
 from snipedeal.schemas import KEY_HASH_PREFIX
 from snipedeal.schemas import Customer
 from snipedeal.schemas import Service
+from snipedeal.utils import shorten
 from snipedeal.utils import stable_hash
 from snipedeal_router.claimhome import INCOMPLETE
 from snipedeal_router.dispatcher import DEADLINE_OUT_OF_REACH
@@ -104,7 +105,8 @@
         """
         service = self._node.configuration.services.get(name)
         if service is None:
-            raise refused_error(404, "unknown_service", f"no service {name!r}", "route")
+            detail = f"no service {shorten(name)}"
+            raise refused_error(404, "unknown_service", detail, "route")
         if not self._customer(customer).may_use(name):
             detail = f"service {name!r} is not open to {customer}"
             raise refused_error(403, "not_open", detail, "authorize")
--- a/packages/snipedeal-router/src/snipedeal_router/app.py
+++ b/packages/snipedeal-router/src/snipedeal_router/app.py
@@ -12,6 +12,7 @@
 from snipedeal.exceptions import UnreadableError
 from snipedeal.serving import add_monitoring_routes
 from snipedeal.utils import new_id
+from snipedeal.utils import shorten
 from snipedeal_router.admission import Admission
 from snipedeal_router.admission import HttpRequest
 from snipedeal_router.admission import body_too_large
@@ -107,7 +108,7 @@
         service = self._admission.find_service(customer, call.service)
         if service.dialect != "openai":
             raise refused_error(
-                404, "not_a_model", f"{call.service!r} is no model", "route"
+                404, "not_a_model", f"{shorten(call.service)} is no model", "route"
             )
         call = _with_prompt_units(call, service.prompt_weight)
         request = await self._admission.admit(call)
@@ -147,7 +148,7 @@
         service = self._match_service(req.path)
         if service is None:
             raise refused_error(
-                404, "unknown_service", f"nothing at {req.path}", "route"
+                404, "unknown_service", f"nothing at {shorten(req.path)}", "route"
             )
         self._admission.find_service(customer, service)
         limit = self._admission.body_limit(service)
--- a/packages/snipedeal/src/snipedeal/utils.py
+++ b/packages/snipedeal/src/snipedeal/utils.py
@@ -5,6 +5,8 @@
 
 import xxhash
 
+from snipedeal import defaults
+
 _T = t.TypeVar("_T")
 
 
@@ -39,6 +41,12 @@
     return f"{prefix}-{secrets.token_hex(8)}"
 
 
+def shorten(text: str) -> str:
+    """Return a caller's text for a message, quoted and cut to a bounded length."""
+    limit = defaults.QUOTED_CHARS
+    return repr(text) if len(text) <= limit else f"{text[:limit]!r}..."
+
+
 def first(items: t.Iterable[_T]) -> _T | None:
     """Return the first item, or ``None`` if there is none."""
     return next(iter(items), None)
