Drop the parsed body of a completion once it is admitted

Callers of other customers saw no answer for 40 s while 120 requests of one customer waited, each with a body of 200 kB of very many empty messages; the router reached 229 MB.

Cause: the handler kept the parsed body for as long as its request waited, 64 bytes and more for each 3 bytes of it, and serialized and hashed each of 66,000 messages, which took the event loop 0.3 s a request.

The body is parsed in a function of its own, which returns the call only, and the call goes once it is admitted.

--- a/packages/snipedeal-router/src/snipedeal_router/app.py
+++ b/packages/snipedeal-router/src/snipedeal_router/app.py
@@ -23,6 +23,7 @@
 from snipedeal_router.disconnects import watch_disconnects
 from snipedeal_router.refusals import add_error_handlers
 from snipedeal_router.refusals import refused_error
+from snipedeal_router.requests import Request
 
 if t.TYPE_CHECKING:
     from snipedeal_router.router import Router
@@ -101,10 +102,18 @@
         resp.media = _model(name)
 
     async def _complete(self, req: t.Any, resp: t.Any, is_chat: bool) -> None:
+        request, wants_usage = await self._admit(req)
+        dispatcher = self._router.plugins["dispatcher"]
+        if request.is_streamed:
+            await stream_completion(req, resp, request, dispatcher, wants_usage)
+        elif await wait_for_response(req, resp, request, dispatcher):
+            write_completion(resp, request, is_chat)
+
+    async def _admit(self, req: t.Any) -> tuple[Request, bool]:
+        """Return the admitted request, and whether its caller wants usage figures."""
         customer = _authenticate(self._admission, req)
         body = await _read_body(req, self._admission.body_limit())
-        fields = _parse_completion(body)
-        call = _completion_call(req, customer, fields, body)
+        call, wants_usage = _parse_completion(req, customer, body)
         service = self._admission.find_service(customer, call.service)
         if service.dialect != "openai":
             raise refused_error(
@@ -113,13 +122,7 @@
         call = _with_prompt_units(call, service.prompt_weight)
         request = await self._admission.admit(call)
         req.context.request = request
-        dispatcher = self._router.plugins["dispatcher"]
-        if call.is_streamed:
-            options = fields.get("stream_options") or {}
-            wants_usage = bool(options.get("include_usage"))
-            await stream_completion(req, resp, request, dispatcher, wants_usage)
-        elif await wait_for_response(req, resp, request, dispatcher):
-            write_completion(resp, request, is_chat)
+        return request, wants_usage
 
     def _allowed_models(self, customer: str) -> list[str]:
         configuration = self._router.node.configuration
@@ -151,7 +154,13 @@
                 404, "unknown_service", f"nothing at {shorten(req.path)}", "route"
             )
         self._admission.find_service(customer, service)
-        limit = self._admission.body_limit(service)
+        request = await self._admit(req, customer, service)
+        req.context.request = request
+        dispatcher = self._router.plugins["dispatcher"]
+        if await wait_for_response(req, resp, request, dispatcher):
+            write_plain(resp, request)
+
+    async def _admit(self, req: t.Any, customer: str, service: str) -> Request:
         query = f"?{req.query_string}" if req.query_string else ""
         call = HttpRequest(
             req.context.request_id,
@@ -160,13 +169,9 @@
             req.method,
             req.path + query,
             dict(req.headers_lower),
-            await _read_body(req, limit),
+            await _read_body(req, self._admission.body_limit(service)),
         )
-        request = await self._admission.admit(call)
-        req.context.request = request
-        dispatcher = self._router.plugins["dispatcher"]
-        if await wait_for_response(req, resp, request, dispatcher):
-            write_plain(resp, request)
+        return await self._admission.admit(call)
 
     def _match_service(self, path: str) -> str | None:
         services = self._router.node.configuration.services
@@ -199,7 +204,13 @@
     return b"".join(parts)
 
 
-def _parse_completion(body: bytes) -> dict[str, t.Any]:
+def _parse_completion(
+    req: t.Any, customer: str, body: bytes
+) -> tuple[HttpRequest, bool]:
+    """Return the call of a completion, and whether its caller wants usage figures.
+
+    The parsed body may take dozens of times its bytes, so that nothing keeps it.
+    """
     try:
         fields = parse_json(body)
     except UnreadableError as error:
@@ -210,17 +221,11 @@
         raise refused_error(
             400, "bad_body", "an object with a model name is needed", "read"
         )
-    options = fields.get("stream_options")
-    if options is not None and not isinstance(options, dict):
+    options = fields.get("stream_options") or {}
+    if not isinstance(options, dict):
         raise refused_error(400, "bad_body", "stream_options must be an object", "read")
-    return fields
-
-
-def _completion_call(
-    req: t.Any, customer: str, fields: dict[str, t.Any], body: bytes
-) -> HttpRequest:
     limit = fields.get("max_completion_tokens") or fields.get("max_tokens") or 0
-    return HttpRequest(
+    call = HttpRequest(
         req.context.request_id,
         customer,
         fields["model"],
@@ -232,14 +237,20 @@
         is_streamed=fields.get("stream") is True,
         shared_parts=_shared_parts(fields),
     )
+    return call, bool(options.get("include_usage"))
 
 
 def _shared_parts(fields: dict[str, t.Any]) -> tuple[str, ...]:
-    """Return the messages that other requests may share: all but the last."""
+    """Return the messages that other requests may share: all but the last.
+
+    Of very long conversations only the first ones count, which requests share as the
+    conversation grows.
+    """
     messages = fields.get("messages")
     if not isinstance(messages, list):
         return ()
-    return tuple(json.dumps(message, sort_keys=True) for message in messages[:-1])
+    shared = messages[:-1][: defaults.CRASH_TRAITS]
+    return tuple(json.dumps(message, sort_keys=True) for message in shared)
 
 
 def _with_prompt_units(call: HttpRequest, prompt_weight: float) -> HttpRequest:
