Ask for the body of a pipelined request after the response before it

Callers could not read the rest of a stream: "HTTP/1.1 100 Continue" stood between two of its chunks, once they had sent the head of a request that expects it behind the one being answered (review/10: 10 of 10 streams in 5 of 5 runs).

Cause: the interim response was written as soon as a head had been read.

It is now written once no response is in progress and no request waits, and not at all if part of the body has come meanwhile or the connection closes.

--- a/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
@@ -49,6 +49,8 @@
         # Data that waits for time to read it.
         self._unread: list[bytes] = []
         self._stated_bytes = 0
+        # Whether the caller waits for 100 before it sends the body.
+        self._owes_continue = False
         # Whether unread data waits for the queue of complete requests to shrink.
         self._awaits_queue = False
         self._is_starting = False
@@ -254,7 +256,16 @@
             self._stated_bytes = length or 0
             self.holding.set(Kind.INCOMPLETE, self._stated_bytes)
             self._server.relief.watch(self)
-        if expects:
+        self._owes_continue = expects
+        self._write_continue()
+
+    def _write_continue(self) -> None:
+        """Ask for the body that a caller holds back, unless a response is written."""
+        if not self._owes_continue or self._current is not None or self._pipelined:
+            return
+        self._owes_continue = False
+        # Part of the body tells that the caller does not wait.
+        if not self._reader.body_bytes and not self._is_closing:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _on_complete(self, request: HttpRequest) -> None:
@@ -262,6 +273,7 @@
         if self._is_closing:
             return
         self._stop_timer()
+        self._owes_continue = False
         self._server.beginning.pop(self, None)
         if self.holding.get(Kind.INCOMPLETE):
             self._stated_bytes = 0
@@ -364,6 +376,7 @@
                 self._server.on_request(self._current)
         finally:
             self._is_starting = False
+        self._write_continue()
         if self._may_start and not self._pipelined and not self._reader.began_ms:
             self._server.note_idle(self)
 
