Answer requests read behind another one before a stopping router closes

Cause: a stopping router closes each connection after the response in progress, also if complete requests wait on it.

They are now started one after the other, and served or refused as not run like any request to a stopping router; the connection closes after the last. A response whose head said that the connection closes still ends it.

At the limit of connections they still close after each response.

--- a/packages/snipedeal-direct/src/snipedeal_direct/exchange.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/exchange.py
@@ -36,6 +36,8 @@
         self.is_ended = False
         self._connection = connection
         self._is_chunked = False
+        # Whether the head of the response says that the connection closes.
+        self._has_said_close = False
         self._has_body = request.method != "HEAD"
 
     @property
@@ -88,7 +90,8 @@
         lines += [b"%s: %s\r\n" % pair for pair in headers]
         if self._is_chunked:
             lines.append(b"Transfer-Encoding: chunked\r\n")
-        if self._connection.closes_after(self.request):
+        self._has_said_close = self._connection.closes_after(self.request)
+        if self._has_said_close:
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
         self._connection.write(b"".join(lines))
@@ -108,7 +111,8 @@
         if self._is_chunked:
             if self._has_body:
                 self._connection.write(b"0\r\n\r\n")
-            self._end(self._connection.closes_after(self.request))
+            closes = self._connection.closes_after(self.request)
+            self._end(self._has_said_close or closes)
         else:
             # HTTP/1.0 has no chunked encoding: closing the connection ends the body.
             self._end(True)
--- a/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
@@ -314,10 +314,11 @@
     def closes_after(self, request: HttpRequest) -> bool:
         """Return whether to close the connection after the response to a request."""
         return (
-            self._server.is_closing
-            or self._server.is_near_limit
+            self._is_closing
             or not request.keeps_alive
-            or self._is_closing
+            or self._server.is_near_limit
+            # Requests that were read are answered first.
+            or (self._server.is_closing and not self._pipelined)
         )
 
     def end_exchange(self, closes: bool) -> None:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -56,3 +56,37 @@
         assert transport.written.count(b"100 Continue") == 1
 
     run(scenario)
+
+
+def test_requests_that_wait_on_a_connection_are_answered_before_it_closes():
+    """Guards against requests that are lost when the process stops."""
+
+    async def scenario(server):
+        connection, transport = server.connect()
+        await server.receive(connection, request(1))
+        server.open[0].begin(200, [])
+        await server.receive(connection, request(2))
+        server.server.is_closing = True
+        server.open[0].finish()
+        assert not transport.is_closed
+        server.open[1].respond(503, [], b"")
+        assert b"HTTP/1.1 503" in transport.written
+        assert b"Connection: close" in transport.written
+        assert transport.is_closed
+
+    run(scenario)
+
+
+def test_connection_closes_after_a_response_that_said_so():
+    async def scenario(server):
+        connection, transport = server.connect()
+        server.server.is_closing = True
+        await server.receive(connection, request(1))
+        server.open[0].begin(200, [])
+        assert b"Connection: close" in transport.written
+        await server.receive(connection, request(2))
+        server.open[0].finish()
+        assert transport.is_closed
+        assert len(server.open) == 1
+
+    run(scenario)
