Do not pass a stream without events on as whole

Cause: the kernel closes the connection of a killed process like that of one that has written all, and only resumed streams were rejected if they had no event.

Any event stream that ends with its connection before the first event is now broken: the caller gets a 502, or the request goes to another target if it may.

--- a/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/forwarding.py
@@ -575,7 +575,6 @@
         call = attempt.call
         head = await connection.head()
         splitter.drop_partial()
-        is_resumed = exchange.has_begun
         event_bytes = 0
         # When the last events came; zero before the first.
         last_ms = 0.0
@@ -616,9 +615,9 @@
             raise BrokenResponseError(
                 "stream ended in the middle of an event", "answer"
             )
-        if is_resumed and not event_bytes and connection.ends_at_eof:
+        if not event_bytes and connection.ends_at_eof:
             # Without a length or chunks, this may be a target that ended early.
-            raise BrokenResponseError("resumed stream has no events", "answer")
+            raise BrokenResponseError("stream has no events", "answer")
         if not exchange.has_begun:
             exchange.begin(head.status, end_to_end_headers(head.headers))
         exchange.finish()
--- a/tests/test_response_integrity.py
+++ b/tests/test_response_integrity.py
@@ -335,6 +335,14 @@
     assert outcome.failure_share > 0
 
 
+def test_router_does_not_end_stream_without_events():
+    """A target may be killed between the head of its response and the first event."""
+    case = Case(OK + b"Content-Type: text/event-stream\r\n\r\n")
+    outcome = route_call(case, "POST", "/chat/x")
+    assert outcome.response.status == 502
+    assert outcome.attempts == {"broken": 1.0}
+
+
 def test_router_cuts_response_that_it_forwards_before_its_end():
     """Responses beyond the buffer limit are forwarded before their end is known."""
     data = OK + b"\r\n" + b"x" * (2 * defaults.BUFFERED_RESPONSE_BYTES)
