Do not run a request whose body ended early

Targets of the routers' own interface ran requests with a part of their bodies: of three uploads whose callers disconnected halfway, stated or in chunks, all three ran, on a service whose requests may run once.

Cause: falcon ends the stream of a body at a disconnect as it does after the last part, and the router did not ask which it was.

Reading a body now ends with a refusal if the caller is gone.

--- a/packages/snipedeal-router/src/snipedeal_router/app.py
+++ b/packages/snipedeal-router/src/snipedeal_router/app.py
@@ -20,6 +20,7 @@
 from snipedeal_router.answers import wait_for_response
 from snipedeal_router.answers import write_completion
 from snipedeal_router.answers import write_plain
+from snipedeal_router.disconnects import DISCONNECT_EVENT
 from snipedeal_router.disconnects import watch_disconnects
 from snipedeal_router.refusals import add_error_handlers
 from snipedeal_router.refusals import refused_error
@@ -201,6 +202,9 @@
         if size > limit:
             raise body_too_large(limit)
         parts.append(part)
+    if req.scope[DISCONNECT_EVENT].is_set():
+        # The stream ends there as it does after a whole body.
+        raise refused_error(400, "incomplete", "the body ended early", "read")
     return b"".join(parts)
 
 
--- a/tests/test_hostile_interface.py
+++ b/tests/test_hostile_interface.py
@@ -19,9 +19,11 @@
 
 from snipedeal_standins.fleet import Fleet
 from snipedeal_standins.history import WHOLE
+from snipedeal_standins.history import read_runs
 from snipedeal_standins.load import Caller
 from snipedeal_standins.plans import bearer_key
 from snipedeal_standins.scenarios import MODEL
+from snipedeal_standins.scenarios import PLAIN_PREFIX
 from snipedeal_standins.scenarios import small_plan
 
 MEMORY_LIMIT_BYTES = hostile.MEMORY_LIMIT_BYTES
@@ -78,6 +80,11 @@
             sock.close()
         await self.fleet.close()
 
+    def address(self, name):
+        """Return host and port of the HTTP side of a process."""
+        host, _, port = self.fleet.url(name).removeprefix("http://").partition(":")
+        return host, int(port)
+
     def _directory(self, name):
         return pathlib.Path(f"/proc/{self.fleet.children[name].process.pid}")
 
@@ -98,9 +105,8 @@
         self._sockets.append(sock)
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
-        host, _, port = self.fleet.url(name).removeprefix("http://").partition(":")
         try:
-            await loop.sock_connect(sock, (host, int(port)))
+            await loop.sock_connect(sock, self.address(name))
             for block in blocks:
                 await loop.sock_sendall(sock, block)
                 await asyncio.sleep(0)
@@ -157,8 +163,7 @@
 
     async def request(self, data, name=ROUTER):
         """Send bytes on a new connection and return the status of the response."""
-        host, _, port = self.fleet.url(name).removeprefix("http://").partition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(*self.address(name))
         try:
             async with asyncio.timeout(hostile.ANSWER_S):
                 writer.write(data)
@@ -261,6 +266,33 @@
     play(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_request_whose_body_ends_early_does_not_run(tmp_path, is_chunked):
+    """Guards against a part of a body that is taken for the whole one."""
+
+    def start(number, size):
+        framing = (
+            "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {size}"
+        )
+        key = f"Idempotency-Key: key-{number}"
+        return head(framing, key, path=f"{PLAIN_PREFIX}/x") + b"\r\n"
+
+    async def scenario(stage):
+        part = b"6\r\na part\r\n" if is_chunked else b"a part"
+        for number in range(3):
+            reader, writer = await asyncio.open_connection(*stage.address(ROUTER))
+            writer.write(start(number, 100) + part)
+            await asyncio.sleep(0.2)
+            writer.close()
+        last = b"4\r\nlast\r\n0\r\n\r\n" if is_chunked else b"last"
+        assert await stage.request(start("last", 4) + last) == 201
+        await asyncio.sleep(0.5)
+        runs = read_runs({"plain-0": stage.fleet.record_path("plain-0")})
+        assert [run.event for run in runs].count("start") == 1
+
+    play(tmp_path, scenario)
+
+
 # -- crowds --------------------------------------------------------------------------
 
 
