Account for large bodies by customer

A customer's upload of 1 MB got a 503 while 60 uploads of another one grew slowly, never idle and never whole: they filled the memory for bodies, and all further ones were refused, whoever sent them.

Cause: what is held was counted for connections only. The largest that stall give way; a crowd that moves a little does not.

A connection now counts for the customer of its latest large body, known by the key when the head is complete; unknown keys count as one. Beyond 0.6 of the limit, a customer that holds more than an equal part of 0.75 is refused more, at the head of a request, or gives way itself when its body grows. One that holds nothing is admitted as before.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -39,6 +39,9 @@
 MEMORY_BODY_FRACTION = 0.92
 #: Fraction of the limit above which connections that hold much without progress close.
 MEMORY_TIGHT_FRACTION = 0.75
+#: Fraction of the limit up to which a customer's bodies may take what is free. Beyond
+#: it, a customer keeps to an equal part of what is held before memory is tight.
+MEMORY_OWNER_FRACTION = 0.6
 #: What a connection may hold while large bodies are refused, bytes; a usual request.
 MEMORY_EACH_BYTES = 16_384
 #: Part of the limit that responses of targets, peers and the store may take.
--- a/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
@@ -9,6 +9,7 @@
 from snipedeal.integrity import reset_on_close
 from snipedeal_direct import defaults
 from snipedeal_direct.exchange import Exchange
+from snipedeal_direct.fields import Fields
 from snipedeal_direct.heads import status_line
 from snipedeal_direct.journal import warning
 from snipedeal_direct.memory import Holding
@@ -250,7 +251,10 @@
         self._stop_timer()
         self._server.beginning.pop(self, None)
         if length is None or length > defaults.MEMORY_EACH_BYTES:
-            if not self._server.relief.admits(length or 0):
+            owner = self._server.owner_of(self._reader.headers)
+            is_admitted = self._server.relief.admits(length or 0, owner)
+            self.holding.set_owner(owner)
+            if not is_admitted:
                 self._server.relief.note_closed(self, "body_refused")
                 raise RefusedInputError(503, "no memory for the body")
             self._stated_bytes = length or 0
@@ -460,6 +464,8 @@
     :param meter: counts the time that reading requests takes.
     :param intake: bounds that time.
     :param account: counts the memory that connections hold.
+    :param owner_of: returns the customer that the headers of a request name, empty if
+        there is none, ``None`` if callers need no key.
     """
 
     def __init__(
@@ -472,7 +478,9 @@
         meter: LoopMeter | None = None,
         intake: IntakeBudget | None = None,
         account: MemoryAccount | None = None,
+        owner_of: t.Callable[[Fields], str | None] = lambda headers: None,
     ) -> None:
+        self.owner_of = owner_of
         self.max_connections = max_connections
         self.account = account or MemoryAccount.of_process(defaults.MAX_MEMORY_MB)
         self.receive_buffer = memoryview(bytearray(defaults.RECEIVE_BYTES))
--- a/packages/snipedeal-direct/src/snipedeal_direct/memory.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/memory.py
@@ -1,5 +1,6 @@
 """Account of the memory held for callers and targets, and who gives way."""
 
+import collections
 import typing as t
 
 import attrs
@@ -46,6 +47,8 @@
         self.limit_bytes = limit_bytes
         self.amounts = [0] * len(KIND_NAMES)
         self.total_bytes = 0
+        # What the connections of each customer hold.
+        self._by_owner: collections.Counter[str] = collections.Counter()
 
     @classmethod
     def of_process(cls, max_memory_mb: float) -> "MemoryAccount":
@@ -70,39 +73,73 @@
         self.amounts[kind] += change
         self.total_bytes += change
 
-    def admits(self, extra_bytes: int) -> bool:
+    def add_owned(self, owner: str, change: int) -> None:
+        """Count a change of what a customer's connections hold, bytes."""
+        self._by_owner[owner] += change
+        if not self._by_owner[owner]:
+            del self._by_owner[owner]
+
+    def admits(self, extra_bytes: int, owner: str | None = None) -> bool:
         """Return whether a large body may be received.
 
-        The rest of the account stays free for requests that hold little.
+        The rest of the account stays free for requests that hold little, and beyond
+        half of it, a customer that holds something keeps to its part.
 
         :param extra_bytes: what it will hold beyond what is counted.
+        :param owner: its customer, ``None`` if callers need no key.
         """
         total = self.total_bytes + extra_bytes
-        return total <= self.limit_bytes * defaults.MEMORY_BODY_FRACTION
-
-    def tolerates(self, held_bytes: int) -> bool:
+        if total > self.limit_bytes * defaults.MEMORY_BODY_FRACTION:
+            return False
+        if total <= self.limit_bytes * defaults.MEMORY_OWNER_FRACTION:
+            return True
+        held = 0 if owner is None else self._by_owner.get(owner, 0)
+        return not held or held + extra_bytes <= self._part_bytes
+
+    def tolerates(self, held_bytes: int, owner: str | None = None) -> bool:
         """Return whether a connection may hold what it holds.
 
         :param held_bytes: bytes that it holds, already counted.
+        :param owner: its customer, ``None`` if callers need no key.
         """
-        limit = self.limit_bytes
+        limit = float(self.limit_bytes)
         if held_bytes > defaults.MEMORY_EACH_BYTES:
-            limit = int(limit * defaults.MEMORY_BODY_FRACTION)
+            limit *= defaults.MEMORY_BODY_FRACTION
+            if owner is not None and self._by_owner.get(owner, 0) > self._part_bytes:
+                limit = self.limit_bytes * defaults.MEMORY_OWNER_FRACTION
         return self.total_bytes <= limit
 
+    @property
+    def _part_bytes(self) -> float:
+        """What each customer that holds something may hold while memory is short."""
+        part = self.limit_bytes * defaults.MEMORY_TIGHT_FRACTION
+        return part / max(1, len(self._by_owner))
+
 
 class Holding:
     """What one connection holds.
 
     :ivar total_bytes: sum over all kinds.
+    :ivar owner: customer of its latest large body, ``None`` if there was none.
     """
 
-    __slots__ = ("_account", "_amounts", "total_bytes")
+    __slots__ = ("_account", "_amounts", "owner", "total_bytes")
 
     def __init__(self, account: MemoryAccount) -> None:
         self._account = account
         self._amounts = [0] * len(KIND_NAMES)
         self.total_bytes = 0
+        self.owner: str | None = None
+
+    def set_owner(self, owner: str | None) -> None:
+        """Count what it holds for a customer from now on."""
+        if owner == self.owner:
+            return
+        if self.owner is not None:
+            self._account.add_owned(self.owner, -self.total_bytes)
+        self.owner = owner
+        if owner is not None:
+            self._account.add_owned(owner, self.total_bytes)
 
     def get(self, kind: int) -> int:
         """Return the bytes held of a kind."""
@@ -115,6 +152,8 @@
             self._amounts[kind] = amount
             self.total_bytes += change
             self._account.add(kind, change)
+            if self.owner is not None:
+                self._account.add_owned(self.owner, change)
 
     def clear(self) -> None:
         """Count that nothing is held."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/parsing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/parsing.py
@@ -108,6 +108,11 @@
             held += len(self._body) * 9 // 8
         return held
 
+    @property
+    def headers(self) -> Fields:
+        """Headers of the request in progress, as far as they have come."""
+        return self._headers
+
     @property
     def body_bytes(self) -> int:
         """Bytes of the body received so far."""
--- a/packages/snipedeal-direct/src/snipedeal_direct/relief.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/relief.py
@@ -70,23 +70,24 @@
         """Stop checking a connection that is closed."""
         self._watched.pop(holder, None)
 
-    def admits(self, length: int) -> bool:
+    def admits(self, length: int, owner: str | None = None) -> bool:
         """Return whether a large body may be received.
 
         :param length: its size in bytes, 0 if it is not known.
+        :param owner: its customer, ``None`` if callers need no key.
         """
-        if self._account.admits(length):
+        if self._account.admits(length, owner):
             return True
         self._search(length)
-        return self._account.admits(length)
+        return self._account.admits(length, owner)
 
     def tolerates(self, holder: Holder) -> bool:
         """Return whether a connection may hold what it holds."""
-        held = holder.holding.total_bytes
-        if self._account.tolerates(held):
+        held, owner = holder.holding.total_bytes, holder.holding.owner
+        if self._account.tolerates(held, owner):
             return True
         self._search(0)
-        return self._account.tolerates(held)
+        return self._account.tolerates(held, owner)
 
     def note_closed(self, holder: Holder, reason: str) -> None:
         """Count a connection that is closed, and log it with others of this second."""
@@ -95,6 +96,7 @@
         if self._log_timer is None:
             self._example = {
                 "peer": holder.peer,
+                "customer": holder.holding.owner or "",
                 "held": holder.holding.total_bytes,
                 "reason": reason,
             }
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -17,6 +17,7 @@
 from snipedeal_direct.dispatching import Dispatcher
 from snipedeal_direct.egress import Pool
 from snipedeal_direct.exchange import Exchange
+from snipedeal_direct.fields import Fields
 from snipedeal_direct.following import FeedTracker
 from snipedeal_direct.forwarding import Forwarder
 from snipedeal_direct.gossip import FeedSnapshot
@@ -109,6 +110,7 @@
             self.meter,
             self.dispatcher.shedder.intake,
             self.account,
+            self._find_owner,
         )
         self._internal_servers = [
             IngressServer(
@@ -367,6 +369,13 @@
     def _caller_limits(self) -> CallerLimits:
         return self.routing.limits
 
+    def _find_owner(self, headers: Fields) -> str | None:
+        """Return the customer of a request, empty for an unknown key."""
+        if not self.routing.has_keys:
+            return None
+        key = headers.get(self.headers.credential) or b""
+        return self.routing.customer(key.decode("latin-1")) or ""
+
     def _on_bad_request(self, status: int, detail: str) -> None:
         self.metrics.answers.labels("", str(status), "bad_request").inc()
         if self.log_writer.drops_request_line(defaults.REFUSAL_LOG_LINES_PER_S):
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -421,6 +421,41 @@
     play(tmp_path, scenario)
 
 
+def test_growing_uploads_of_one_customer_do_not_keep_out_those_of_others(tmp_path):
+    """Guards against a crowd that is never idle and never done."""
+
+    async def upload(stage, number):
+        connection = CallerConnection(("127.0.0.1", stage.router.listen))
+        start = head(number, "Transfer-Encoding: chunked") + b"\r\n"
+        chunk = b"2000\r\n" + bytes(8_192) + b"\r\n"
+        try:
+            await connection.send_raw(start)
+            for sent in range(400):
+                await connection.send_raw(chunk)
+                await asyncio.sleep(0 if sent < 160 else 0.3)
+        except OSError:
+            pass
+        finally:
+            await connection.close()
+
+    async def scenario(stage):
+        tasks = [asyncio.create_task(upload(stage, number)) for number in range(60)]
+        try:
+            await asyncio.sleep(hostile.SEND_S / 2)
+            start = head(
+                "other", "Content-Length: 1000000", path="/lookup/a", key=OTHER_KEY
+            )
+            answer = await stage.request(start + b"\r\n" + bytes(1_000_000))
+            assert (answer.status, answer.is_complete) == (200, True)
+            stage.check_process()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    play(tmp_path, scenario)
+
+
 def test_uploads_of_one_customer_do_not_keep_out_those_of_others(tmp_path):
     """Guards against a limit on memory that the first customer takes for itself."""
 
