Bound small pieces of input that wait, and the work on each

A caller that sends single bytes while a router has no time to read could take all of its event loop: each piece that came summed up all that waited.

Cause: the size of unread input was computed anew for each piece, and the limit left out what a piece takes beside its bytes.

The size is kept, and the limit includes the overhead.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -367,7 +367,8 @@
 INTAKE_BURST_MS = 20.0
 #: Delay until requests that were left unread are read, ms.
 INTAKE_DELAY_MS = 5.0
-#: Bytes of a caller that may be left unread in the process; more stay in the socket.
+#: Bytes of a caller that may be left unread in the process, with the overhead of each
+#: piece; more stay in the socket.
 INTAKE_BUFFER_BYTES = 65_536
 #: Customers with less than this fraction of the largest fair number of admitted calls
 #: may use a reserve of another such time.
--- a/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/ingress.py
@@ -153,9 +153,9 @@
             self._server.idle.pop(self, None)
             self._server.defer(self, len(data) > defaults.PARSED_BYTES)
         self._unread.append(data)
-        unread_bytes = sum(map(len, self._unread))
-        overhead_bytes = len(self._unread) * defaults.PART_OVERHEAD_BYTES
-        self.holding.set(Kind.UNREAD, unread_bytes + overhead_bytes)
+        unread_bytes = self.holding.get(Kind.UNREAD)
+        unread_bytes += len(data) + defaults.PART_OVERHEAD_BYTES
+        self.holding.set(Kind.UNREAD, unread_bytes)
         if not self._is_read_paused and (
             unread_bytes > defaults.INTAKE_BUFFER_BYTES or self._server.account.is_tight
         ):
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -5,6 +5,9 @@
 from test_intake import Intake
 from test_intake import request
 
+from snipedeal_direct import defaults
+from snipedeal_direct.memory import Kind
+
 
 class Server(Intake):
     """A server with time to read, whose requests stay open."""
@@ -90,3 +93,22 @@
         assert len(server.open) == 1
 
     run(scenario)
+
+
+def test_reading_pauses_after_many_small_pieces_that_wait():
+    """Guards against pieces of a byte, each of which holds far more than that."""
+
+    async def scenario(server):
+        connection, transport = server.connect()
+        server.budget.share = 0.0
+        server.budget.spend(1e9)
+        connection.data_received(b"P")
+        pieces = 1
+        while not transport.is_paused and pieces < 60_000:
+            connection.data_received(b"x")
+            pieces += 1
+        held = connection.holding.get(Kind.UNREAD)
+        assert transport.is_paused
+        assert held < 2 * defaults.INTAKE_BUFFER_BYTES
+
+    run(scenario)
