Cut long texts in log lines

A caller chooses the ID of its request, of up to 16 KB, and each line about it repeats the ID: up to 2,000 lines wait for a slow reader of the log, 32 MB, and 400 a second are written, 6 MB a second.

Cause: log lines were bounded by their number only.

A text in a line is now cut at 500 characters. The new test failed before (400 lines held 6.4 MB) and passes.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -494,6 +494,8 @@
 STOP_MIN_MS = 3_200
 
 # -- logs ---------------------------------------------------------------------
+#: Longest text in a field of a log line, characters.
+LOG_FIELD_CHARS = 500
 #: Log lines queued for standard output; further ones are dropped and counted.
 LOG_QUEUE_LINES = 2_000
 #: Log lines per second and process beyond which those that name a request are dropped.
--- a/packages/snipedeal-direct/src/snipedeal_direct/journal.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/journal.py
@@ -90,13 +90,21 @@
             "event": record.getMessage(),
         }
         # The common keys win, so that no field can replace, for example, the level.
-        line = common | (fields or {}) | common
+        line = common | {key: _cut(value) for key, value in (fields or {}).items()}
+        line |= common
         if record.exc_info:
             formatter = std_logging.Formatter()
             line["error"] = formatter.formatException(record.exc_info)
         return json.dumps(line, default=str).encode() + b"\n"
 
 
+def _cut(value: t.Any) -> t.Any:
+    """Bound a text; callers choose the IDs of requests."""
+    if isinstance(value, str) and len(value) > defaults.LOG_FIELD_CHARS:
+        return value[: defaults.LOG_FIELD_CHARS] + "..."
+    return value
+
+
 class LogWriter:
     """Route all logs of the process to standard output, as JSON lines.
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -62,3 +62,12 @@
     os.close(reader)
     handler.flush_lines()
     os.close(writer)
+
+
+def test_lines_that_wait_are_bounded_by_their_size():
+    """Guards against identifiers of callers that fill the queue of lines."""
+    handler = QueueHandler("router-a", FrozenClock())
+    for _ in range(defaults.LOG_LINES_PER_S):
+        handler.emit(make_record("request.refused", request="i" * 16_000))
+    held = sum(map(len, handler._lines))
+    assert held < defaults.LOG_LINES_PER_S * 2 * defaults.LOG_FIELD_CHARS
