Take the memory of a direct router's VM from the platform

Each VM counted as one of 160 MB, the smallest, so that a router with 300 MB refused bodies with 100 MB free.

Cause: nothing passed the VM's memory on.

Texts that are no number are refused by the range check.

--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -178,7 +178,12 @@
     async def start(self) -> None:
         """Start all servers and follow the platform's change feeds."""
         settings = self.settings
-        info("process.started", pid=os.getpid(), zone=settings.zone)
+        info(
+            "process.started",
+            pid=os.getpid(),
+            zone=settings.zone,
+            memory_mb=settings.max_memory_mb,
+        )
         addresses = (settings.ready, settings.metrics, settings.peer)
         for server, address in zip(self._internal_servers, addresses, strict=True):
             await server.start(*split_address(address))
--- a/packages/snipedeal-direct/src/snipedeal_direct/settings.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/settings.py
@@ -1,5 +1,8 @@
 """Settings of the direct router, read from a JSON file and validated."""
 
+import math
+import os
+
 import attrs
 
 from snipedeal.checking import FieldError
@@ -8,6 +11,21 @@
 from snipedeal.logs import level_names
 from snipedeal_direct import defaults
 
+#: Environment variable with the memory of the VM, MB, for files that do not set it.
+MEMORY_VARIABLE = "SNIPEDEAL_MEMORY_MB"
+
+
+def _memory_of_vm() -> float:
+    """Return the memory of the VM that the environment tells, MB.
+
+    Without it, it is that of the smallest VM. A text that is no number gives NaN,
+    which no range admits.
+    """
+    try:
+        return float(os.environ.get(MEMORY_VARIABLE, defaults.MAX_MEMORY_MB))
+    except ValueError:
+        return math.nan
+
 
 def _check_address(instance: object, attribute: attrs.Attribute, value: str) -> None:
     host, _, port = value.rpartition(":")
@@ -80,7 +98,8 @@
     :param peer: ``host:port`` for other routers, over TCP and UDP.
     :param learns_costs: whether targets are compared by what calls turned out to cost.
     :param max_descriptors: file descriptors that the process may open.
-    :param max_memory_mb: memory of the VM, MB; bounds what is held for callers.
+    :param max_memory_mb: memory of the VM, MB; bounds what is held for callers. If it
+        is not set, the environment variable ``SNIPEDEAL_MEMORY_MB`` tells it.
     :param max_lag_ms: event loop lag above which new calls are refused.
     """
 
@@ -101,5 +120,5 @@
     )
     learns_costs: bool = False
     max_memory_mb: float = attrs.field(
-        default=defaults.MAX_MEMORY_MB, validator=in_range(100, 10_000_000)
+        default=attrs.Factory(_memory_of_vm), validator=in_range(100, 10_000_000)
     )
--- a/tests/test_direct_settings.py
+++ b/tests/test_direct_settings.py
@@ -127,3 +127,19 @@
     done = subprocess.run(command, capture_output=True, text=True)
     assert done.returncode == status
     assert "settings" in done.stdout + done.stderr
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"), [(None, 160.0), ("300", 300.0), ("1e9", None), ("x", None)]
+)
+def test_memory_of_the_vm_comes_from_the_environment(
+    tmp_path, monkeypatch, text, expected
+):
+    if text is not None:
+        monkeypatch.setenv("SNIPEDEAL_MEMORY_MB", text)
+    path = write(tmp_path / "s.json", fill(VALUES))
+    if expected is None:
+        with pytest.raises(SettingsError, match="max_memory_mb"):
+            load_settings(path, DirectSettings)
+    else:
+        assert load_settings(path, DirectSettings).max_memory_mb == expected
