Keep refusals of a connection in the order of its requests

On a router's own interface, a caller that sent a bad request behind a sound one read the refusal as the response to the sound one, which ran all the same; a 503 or 408 in its place would have promised that nothing ran.

Cause: the refusal was written whenever the newest request had no response yet, also if an earlier one was being served. Requests that are answered before their body has come were also released from the account in the wrong order.

A refusal is written only if no earlier request waits for its response; else the connection closes after that. Input is dropped for a second before a refused connection closes, since a reset would hide the refusal. Callers' connections take 0.65 of the descriptors, as in direct routers.

The new test failed before (400 in place of 200) and passes.

--- a/packages/snipedeal/src/snipedeal/defaults.py
+++ b/packages/snipedeal/src/snipedeal/defaults.py
@@ -56,6 +56,8 @@
 # -- what callers of the HTTP interface may send and hold ----------------------
 MAX_HEADER_BYTES = 16_384
 RECEIVE_TIMEOUT_MS = 60_000
+# Fraction of a process's descriptors for callers' connections, and their upper limit.
+CONNECTIONS_FRACTION = 0.65
 CONNECTIONS_LIMIT = 20_000
 # Connections accepted in one iteration of the event loop; the kernel keeps more.
 ACCEPTED_AT_ONCE = 8
@@ -83,6 +85,8 @@
 # that the parser gets at once.
 PIPELINED_REQUESTS = 4
 PARSED_BYTES = 16_384
+# Time for which a caller may read a refusal while it still sends, s.
+REFUSAL_LINGER_S = 1.0
 # Bytes of the request line beside its target and of the line that ends the head, of
 # empty lines before a request, of chunk framing and trailers without a byte of the
 # body, and on the wire for each byte of a chunked body beyond that.
--- a/packages/snipedeal/src/snipedeal/intake.py
+++ b/packages/snipedeal/src/snipedeal/intake.py
@@ -12,6 +12,7 @@
 from absl import logging
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 from snipedeal import defaults
 from snipedeal.holdings import UNKNOWN
@@ -116,11 +117,13 @@
 
     :param owner: its customer.
     :param headers: its headers; thousands of short ones take many times their bytes.
+    :param cycle: serves it, ``None`` until its head is complete.
     """
 
     owner: str = UNKNOWN
     held_bytes: int = 0
     headers: list[tuple[bytes, bytes]] = attrs.Factory(list)
+    cycle: RequestResponseCycle | None = None
 
 
 class BoundedProtocol(HttpToolsProtocol):
@@ -152,7 +155,7 @@
         self._framed_bytes = 0
         self._unsent_bytes = 0
         # What the connection holds beside its requests.
-        self._own = _Message(held_bytes=0)
+        self._own = _Message()
         self._receive_timer: asyncio.TimerHandle | None = None
         self._unread_timer: asyncio.TimerHandle | None = None
 
@@ -165,7 +168,7 @@
         self._hold(self._own, defaults.CONNECTION_BYTES)
         chosen = self._intake.seats.add(self)
         if chosen is not None:
-            chosen._refuse(RefusedInputError(Limit.CONNECTIONS, 503))
+            chosen.give_way()
         self._limit_receive_time()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -359,6 +362,7 @@
         self._since_progress = self._framed_bytes = 0
         self._intake.seats.note_busy(self)
         super().on_headers_complete()
+        self._message.cycle = self.cycle
 
     def _own_as(self, owner: str) -> str:
         """Count what the connection itself holds for the customer of its requests."""
@@ -391,17 +395,24 @@
         self._since_progress = 0
         self._stop_receive_timer()
 
+    def give_way(self) -> None:
+        """Close the connection at once, to free its descriptor."""
+        self._intake.note_refused(Limit.CONNECTIONS, self._peer, self._own.owner)
+        self._is_closing = True
+        if self._message is not None:
+            self._write_refusal(503)
+        self.transport.close()
+
     # -- responses ---------------------------------------------------------------
 
     def on_response_complete(self) -> None:
         """Free what the request held, and parse what waits."""
         if self._open:
-            message = self._open[0]
-            if message is not self._message:
-                self._open.popleft()
-            self._release(message)
+            self._release(self._open.popleft())
         super().on_response_complete()
-        if self._is_closing or self.transport.is_closing():
+        if self._is_closing:
+            self.transport.close()
+        if self.transport.is_closing():
             return
         if not self._open:
             self._intake.seats.note_idle(self)
@@ -417,41 +428,49 @@
     def _refuse(self, refusal: RefusedInputError) -> None:
         """Refuse what is not complete, and close the connection.
 
-        A response that has begun, or that an earlier request waits for, is not mixed
-        with the refusal: the connection closes after it.
+        A refusal is not mixed with the response to an earlier request: the connection
+        closes after that.
         """
         if self._is_closing:
             return
         self._is_closing = True
-        owner = self._message.owner if self._message else self._own.owner
+        message = self._message
+        owner = message.owner if message is not None else self._own.owner
         self._intake.note_refused(refusal.limit, self._peer, owner)
         self._stop_timers()
+        self._hold(self._own, -len(self._unparsed))
         self._unparsed = b""
         self.pipeline.clear()
-        if self._message is not None and not self._has_head:
-            self._release(self._message)
-        self.flow.pause_reading()
-        cycle = self.cycle
-        is_receiving = self._message is not None and self._has_head
-        if cycle is None or cycle.response_complete:
-            self._write_refusal(refusal.status)
-        elif is_receiving and not cycle.response_started:
+        if message is not None and message.cycle is None:
+            self._release(message)
+        if self._open and self._open[0] is not message:
+            self.flow.pause_reading()
+            return
+        cycle = message.cycle if message is not None else None
+        if cycle is not None and cycle.response_started:
+            self.transport.abort()
+            return
+        if cycle is not None:
             # The application waits for the rest of the body.
             cycle.disconnected = True
             cycle.message_event.set()
-            self._write_refusal(refusal.status)
-        elif is_receiving:
-            self.transport.abort()
-        else:
-            cycle.keep_alive = False
+        self._write_refusal(refusal.status)
 
     def _write_refusal(self, status: int) -> None:
+        """Write a refusal; drop input for a while before the connection closes.
+
+        Closing while the caller sends would reset the connection, and the caller would
+        not read why its request was refused.
+        """
         lines = [f"HTTP/1.1 {status} {http.HTTPStatus(status).phrase}"]
         lines += ["content-length: 0", "connection: close"]
         if status == 503:
             lines.append(f"retry-after: {defaults.RETRY_AFTER_S}")
         self.transport.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        self.transport.close()
+        self.flow.is_held = False
+        self.flow.resume_reading()
+        self._intake.seats.note_idle(self)
+        self.loop.call_later(defaults.REFUSAL_LINGER_S, self.transport.close)
 
     # -- accounts and timers -------------------------------------------------------
 
@@ -489,7 +508,7 @@
 
     def _limit_receive_time(self) -> None:
         """Start the timeout of a request that is not complete, or has not begun."""
-        is_waiting = self._message is not None or self.cycle is None
+        is_waiting = self._message is not None or not self._open
         if is_waiting and self._receive_timer is None:
             self._receive_timer = self.loop.call_later(
                 self._intake.receive_timeout_s, self._on_receive_timeout
@@ -519,8 +538,12 @@
 
 
 def _default_connections() -> int:
-    """Return the connections that half of the process's descriptors are enough for."""
+    """Return the connections that the process's descriptors are enough for.
+
+    The rest is for connections to other processes, and files.
+    """
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft == resource.RLIM_INFINITY:
         return defaults.CONNECTIONS_LIMIT
-    return max(1, min(defaults.CONNECTIONS_LIMIT, soft // 2))
+    wanted = int(soft * defaults.CONNECTIONS_FRACTION)
+    return max(1, min(defaults.CONNECTIONS_LIMIT, wanted))
--- a/packages/snipedeal/src/snipedeal/settings.py
+++ b/packages/snipedeal/src/snipedeal/settings.py
@@ -41,7 +41,7 @@
     :param shutdown_limit_ms: longest duration of a graceful shutdown.
     :param max_header_bytes: largest head of a request, without the request line's
         method and version.
-    :param max_connections: connections to the HTTP server; 0 for half of the
+    :param max_connections: connections to the HTTP server; 0 for 0.65 of the
         descriptors that the process may open.
     :param max_memory_mb: memory of the VM, MB, which bounds what is held for callers; 0
         for what the kernel tells.
--- a/tests/test_hostile_interface.py
+++ b/tests/test_hostile_interface.py
@@ -293,6 +293,26 @@
     play(tmp_path, scenario)
 
 
+def test_refusal_does_not_take_the_place_of_an_earlier_response(tmp_path):
+    """Guards against a refusal of one request that reads as that of another."""
+    first = whole(chat("hello", tokens=200))
+    too_large = head("X: " + "y" * 2 * HEAD_BYTES) + b"\r\n"
+    bad_chunk = head("Transfer-Encoding: chunked") + b"\r\nno size\r\n"
+
+    async def scenario(stage):
+        for second in (too_large, bad_chunk, b"no request\r\n\r\n"):
+            reader, writer = await asyncio.open_connection(*stage.address(ROUTER))
+            writer.write(first + second)
+            async with asyncio.timeout(hostile.ANSWER_S):
+                data = await reader.read()
+            writer.close()
+            status_lines = [line for line in data.split(b"\r\n") if b"HTTP/1.1" in line]
+            assert status_lines[0] == b"HTTP/1.1 200 OK"
+            assert b"[DONE]" in data or b'"choices"' in data
+
+    play(tmp_path, scenario)
+
+
 # -- crowds --------------------------------------------------------------------------
 
 
