Hand the dispatcher its budget of prefix caches

The router makes the budget from its settings and passes it to the dispatcher, which needs no further setting.

--- a/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/dispatching.py
@@ -48,6 +48,7 @@
 
     :param settings: the router's settings.
     :param meter: counts the time that dispatches take.
+    :param prefix_budget: bounds the estimates of the targets' prefix caches.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         clock: Clock,
         metrics: DirectMetrics,
         meter: LoopMeter | None = None,
+        prefix_budget: PrefixBudget | None = None,
     ) -> None:
         self.queues: dict[str, ServiceQueue] = {}
         self.shedder = LoadShedder(LoopLag(settings.max_lag_ms))
@@ -75,7 +77,7 @@
         self._clock = clock
         self._metrics = metrics
         self.findings = TargetFindings()
-        self.prefix_budget = PrefixBudget.of_process(settings.max_memory_mb)
+        self.prefix_budget = prefix_budget or PrefixBudget.of_smallest_vm()
         self._registrations: dict[str, Target] = {}
         # Services of the configuration, ``None`` before the first; only these have
         # queues.
--- a/packages/snipedeal-direct/src/snipedeal_direct/router.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/router.py
@@ -28,6 +28,7 @@
 from snipedeal_direct.journal import LogWriter
 from snipedeal_direct.journal import info
 from snipedeal_direct.journal import warning
+from snipedeal_direct.load import PrefixBudget
 from snipedeal_direct.memory import MemoryAccount
 from snipedeal_direct.meter import LoopMeter
 from snipedeal_direct.metrics import DirectMetrics
@@ -73,7 +74,13 @@
             lambda address: self.metrics.connects.inc(),
             self.account,
         )
-        self.dispatcher = Dispatcher(settings, self.clock, self.metrics, self.meter)
+        self.dispatcher = Dispatcher(
+            settings,
+            self.clock,
+            self.metrics,
+            self.meter,
+            PrefixBudget.of_process(settings.max_memory_mb),
+        )
         self.dispatcher.on_new_instance = self._on_new_instance
         self.feed_tracker = FeedTracker(settings.name, self.clock.now_ms)
         self.is_store_unreachable = True
