Keep the headers of usual requests as a list

Up to 64 headers are a list again, paid for as objects (200 bytes each); more become a block at the 65th. How the body comes is noted as the headers arrive.

--- a/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/defaults.py
@@ -109,6 +109,8 @@
 #: closed. A small router has 200 MB.
 RECEIVED_BYTES = 33_554_432
 RECEIVED_BYTES_EACH = 16_384
+#: Headers of a request up to which each one is an object; more are held as one block.
+LISTED_HEADERS = 64
 #: Memory of a header and of a buffered part of a body beside its bytes.
 HEADER_OVERHEAD_BYTES = 200
 PART_OVERHEAD_BYTES = 64
--- a/packages/snipedeal-direct/src/snipedeal_direct/fields.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/fields.py
@@ -1,57 +1,82 @@
-"""Header lines of a request, held as one block of bytes."""
+"""Header lines of a request, held as one block of bytes if there are many."""
 
 import typing as t
 
+from snipedeal_direct import defaults
+
+_LISTED_HEADERS = defaults.LISTED_HEADERS
+
 
 class Fields:
     """Names and values of headers, in the order received.
 
     Objects for each name and value would take up to fifty times the bytes of a short
-    line, for as long as its request waits.
+    line, for as long as its request waits. They are faster for the few lines of a
+    usual request.
 
     :param pairs: names in lower case, and values. Neither has a line feed, and names
         have no colon (RFC 9110, 5.1 and 5.5).
     """
 
-    __slots__ = ("_block",)
+    __slots__ = ("_block", "_pairs")
 
     def __init__(self, pairs: t.Iterable[tuple[bytes, bytes]] = ()) -> None:
+        self._pairs: list[tuple[bytes, bytes]] = []
         # Each line begins with the line feed that ends the one before it, so that a
         # search finds whole names only.
-        self._block = bytearray(b"\n")
+        self._block: bytearray | None = None
         for name, value in pairs:
             self.add(name, value)
 
     @property
-    def held_bytes(self) -> int:
-        """Memory that they take, bytes."""
+    def overhead_bytes(self) -> int:
+        """Memory that they take beside the bytes of names and values."""
+        if self._block is None:
+            return len(self._pairs) * defaults.HEADER_OVERHEAD_BYTES
         # A bytearray reserves an eighth more than it has.
-        return len(self._block) * 9 // 8
+        return len(self._block) // 8
 
     def add(self, name: bytes, value: bytes) -> None:
         """Append a header."""
-        self._block += b"%s:%s\n" % (name, value)
+        if self._block is not None:
+            self._block += b"%s:%s\n" % (name, value)
+            return
+        pairs = self._pairs
+        pairs.append((name, value))
+        if len(pairs) > _LISTED_HEADERS:
+            lines = [b"%s:%s\n" % pair for pair in pairs]
+            self._block = bytearray(b"\n" + b"".join(lines))
+            self._pairs = []
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, ``None`` if it is missing."""
-        start = self._block.find(b"\n%s:" % name)
-        return None if start < 0 else self._value(start + len(name) + 2)
+        if self._block is not None:
+            return next(self._find(self._block, name), None)
+        for key, value in self._pairs:
+            if key == name:
+                return value
+        return None
 
     def get_all(self, name: bytes) -> list[bytes]:
         """Return all values of a header, in the order received."""
-        values = []
+        if self._block is not None:
+            return list(self._find(self._block, name))
+        return [value for key, value in self._pairs if key == name]
+
+    @staticmethod
+    def _find(block: bytearray, name: bytes) -> t.Iterator[bytes]:
         prefix = b"\n%s:" % name
-        start = self._block.find(prefix)
+        start = block.find(prefix)
         while start >= 0:
             start += len(prefix)
-            values.append(self._value(start))
-            start = self._block.find(prefix, start - 1)
-        return values
-
-    def _value(self, start: int) -> bytes:
-        return bytes(self._block[start : self._block.index(b"\n", start)])
+            end = block.index(b"\n", start)
+            yield bytes(block[start:end])
+            start = block.find(prefix, end)
 
     def __iter__(self) -> t.Iterator[tuple[bytes, bytes]]:
+        if self._block is None:
+            yield from self._pairs
+            return
         for line in bytes(self._block).split(b"\n")[1:-1]:
             name, _, value = line.partition(b":")
             yield name, value
--- a/packages/snipedeal-direct/src/snipedeal_direct/parsing.py
+++ b/packages/snipedeal-direct/src/snipedeal_direct/parsing.py
@@ -10,6 +10,8 @@
 from snipedeal_direct.fields import Fields
 from snipedeal_direct.model import CallerLimits
 
+_FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding", b"expect"))
+
 
 @attrs.define(eq=False)
 class HttpRequest:
@@ -88,6 +90,11 @@
     def _reset(self) -> None:
         self._path = b""
         self._headers = Fields()
+        # Length that the request states for its body, whether it comes in chunks, and
+        # whether the caller waits for 100 before it sends it.
+        self._stated_bytes = 0
+        self._is_chunked = False
+        self._expects = False
         self._head_bytes = 0
         self.has_head = False
         self._has_started = False
@@ -102,7 +109,8 @@
     @property
     def held_bytes(self) -> int:
         """Memory that a request in progress takes, bytes."""
-        held = self._bytes_since_body + len(self._path) + self._headers.held_bytes
+        held = self._bytes_since_body + len(self._path) + self._head_bytes
+        held += self._headers.overhead_bytes
         if self._body is not None:
             # A bytearray reserves an eighth more than it has.
             held += len(self._body) * 9 // 8
@@ -209,6 +217,7 @@
             # The same request is read once more.
             self._has_upgrade = False
             self._headers = Fields()
+            self._expects = False
             self._path = b""
             self._head_bytes = 0
             return
@@ -228,10 +237,22 @@
         """Store a header; drop a trailer, whose bytes count as framing."""
         if self.has_head:
             return
-        self._headers.add(name.lower(), value)
+        name = name.lower()
+        self._headers.add(name, value)
+        if name in _FRAMING_HEADERS:
+            self._note_framing(name, value)
         # At least 3 bytes for the colon and the line break.
         self._head_bytes += len(name) + len(value) + 3
 
+    def _note_framing(self, name: bytes, value: bytes) -> None:
+        """Note how the body comes."""
+        if name == b"content-length":
+            self._stated_bytes = int(value)
+        elif name == b"transfer-encoding":
+            self._is_chunked = True
+        elif value.lower() == b"100-continue":
+            self._expects = True
+
     def on_headers_complete(self) -> None:
         """Enforce the header and body limits."""
         limits = self._limits()
@@ -245,19 +266,12 @@
         self.has_head = True
         self._bytes_since_body = 0
         self._framed_bytes = 0
-        length: int | None = 0
-        stated = self._headers.get(b"content-length")
-        if stated is not None:
-            length = int(stated)
-            if length > limits.max_body_bytes:
-                self._refuse(413, "body too large")
-        if self._headers.get(b"transfer-encoding") is not None:
-            length = None
-        expected = self._headers.get_all(b"expect")
-        expects = any(value.lower() == b"100-continue" for value in expected)
-        if length != 0 or expects:
+        if self._stated_bytes > limits.max_body_bytes:
+            self._refuse(413, "body too large")
+        length = None if self._is_chunked else self._stated_bytes
+        if length != 0 or self._expects:
             try:
-                self._on_head(length, expects)
+                self._on_head(length, self._expects)
             except RefusedInputError as error:
                 self._refusal = error
                 raise
